--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,7 @@
+find_package(Threads REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
+find_package(CURL REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ulfius REQUIRED IMPORTED_TARGET libulfius)
+pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
