--- /dev/null
+++ b/source/core/common/clock.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace lycheegap::common {
+
+/// Monotonic time of this host. Never compared with another host's.
+using monotonic = std::chrono::steady_clock;
+/// A moment on this host's monotonic clock; all deadlines are of this type.
+using time_point = monotonic::time_point;
+using std::chrono::milliseconds;
+
+/// Whole milliseconds from `from` to `to`, negative when `to` is past.
+inline std::int64_t milliseconds_between(time_point from, time_point to) {
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+/// Seconds from `from` to `to` with fractions.
+inline double seconds_between(time_point from, time_point to) {
+    return std::chrono::duration<double>(to - from).count();
+}
+
+/// Wall clock in ms since 1970, for answers that leave the fleet.
+inline std::int64_t unix_milliseconds() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+} // namespace lycheegap::common
--- /dev/null
+++ b/source/core/common/lock_rank.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheegap::common {
+
+/// Order in which a thread may take the locks of shared tables: only a lock of a higher rank than all it
+/// holds. No call to the network is made under any of them.
+enum class lock_rank : std::uint8_t {
+    /// host: catalog, generation and authority.
+    catalog_table = 10,
+    membership_table = 20,
+    authority_table = 30,
+    /// host: buckets and loans of teams.
+    allowance_table = 40,
+    /// host: queues of waiting requests.
+    queue_table = 50,
+    /// host: ids and outcomes of non-idempotent requests.
+    outcome_table = 60,
+    /// host: endpoints' state.
+    endpoint_table = 70,
+    /// host: this host's random numbers.
+    random_state = 80,
+    /// transport: connections to endpoints and store.
+    connection_pool = 90,
+    /// transport: calls waiting for the peer thread.
+    peer_outbox = 100,
+    /// common: counted and measured quantities.
+    metrics_table = 110,
+    /// common: work of the worker pool.
+    work_queue = 120,
+    /// A lock that is taken last and alone, such as one call's result.
+    leaf = 200,
+};
+
+} // namespace lycheegap::common
