--- /dev/null
+++ b/source/core/membership/authority.cpp
@@ -0,0 +1,45 @@
+#include "authority.h"
+
+#include <algorithm>
+
+namespace lycheegap::membership {
+
+namespace {
+
+void extend_to(authority& target, common::time_point deadline) {
+    target.deadline = std::max(target.deadline, deadline);
+}
+
+} // namespace
+
+void extend_by_store(authority& target, common::time_point asked_at, common::milliseconds length) {
+    extend_to(target, asked_at + length);
+}
+
+void extend_by_members(authority& target, const generation& current, const own_knowledge& self,
+                       std::span<const member_answer> answers, common::time_point now,
+                       common::milliseconds length) {
+    if (!is_member(current, self.name, self.incarnation)) {
+        return;
+    }
+    std::vector<common::time_point> asked{now};
+    for (const auto& it : answers) {
+        const bool counts = it.name != self.name && is_member(current, it.name, it.incarnation);
+        if (counts && it.catalog_revision <= self.catalog_revision) {
+            asked.push_back(it.asked_at);
+        }
+    }
+    const auto needed = majority_of(current);
+    if (asked.size() < needed) {
+        return;
+    }
+    const auto middle = asked.begin() + static_cast<std::ptrdiff_t>(needed) - 1;
+    std::nth_element(asked.begin(), middle, asked.end(), std::greater<>());
+    extend_to(target, *middle + length);
+}
+
+bool holds(const authority& source, common::time_point now) {
+    return now < source.deadline;
+}
+
+} // namespace lycheegap::membership
