--- /dev/null
+++ b/source/core/transport/http_client.cpp
@@ -0,0 +1,219 @@
+#include "http_client.h"
+
+#include <algorithm>
+#include <mutex>
+
+#include <fmt/format.h>
+
+#include "core/common/last_reason.h"
+
+namespace lycheegap::transport {
+
+namespace {
+
+constexpr long connect_timeout_ms = 1000;
+constexpr long least_timeout_ms = 1;
+
+struct curl_list_deleter {
+    void operator()(curl_slist* list) const {
+        curl_slist_free_all(list);
+    }
+};
+
+using curl_list = std::unique_ptr<curl_slist, curl_list_deleter>;
+
+/// What the callbacks of one call fill.
+struct call_state {
+    http_response response;
+    bool sending{false};
+    bool has_length{false};
+};
+
+std::size_t on_body(char* data, std::size_t size, std::size_t n, void* user_data) {
+    static_cast<call_state*>(user_data)->response.body.append(data, size * n);
+    return size * n;
+}
+
+bool is_hop_header(std::string_view name) {
+    return execution::same_name(name, "connection") || execution::same_name(name, "keep-alive") ||
+           execution::same_name(name, "transfer-encoding") || execution::same_name(name, "content-length");
+}
+
+std::string_view trimmed(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::size_t on_header(char* data, std::size_t size, std::size_t n, void* user_data) {
+    auto& state = *static_cast<call_state*>(user_data);
+    const std::string_view line(data, size * n);
+    if (line.starts_with("HTTP/")) {
+        // An interim answer's head is followed by another one.
+        state.response.headers.clear();
+        state.has_length = false;
+        return line.size();
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return line.size();
+    }
+    const auto name = line.substr(0, colon);
+    const auto value = trimmed(line.substr(colon + 1));
+    const bool bounded = execution::same_name(name, "content-length") ||
+                         (execution::same_name(name, "transfer-encoding") && value == "chunked");
+    state.has_length = state.has_length || bounded;
+    if (!is_hop_header(name)) {
+        state.response.headers.push_back({std::string(name), std::string(value)});
+    }
+    return line.size();
+}
+
+// libcurl sends a request again by itself when a kept connection turns out to be closed, even when the
+// request may have run. It asks here before each sending.
+int before_sending(void* user_data, char* /*unused*/, char* /*unused*/, int /*unused*/, int /*unused*/) {
+    auto& state = *static_cast<call_state*>(user_data);
+    if (state.sending) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    state.sending = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+curl_handle take_handle(connection_pool& pool, const std::string& address) {
+    {
+        const std::lock_guard guard(pool.mutex);
+        auto& idle = pool.idle[address];
+        if (!idle.empty()) {
+            auto handle = std::move(idle.back());
+            idle.pop_back();
+            return handle;
+        }
+    }
+    return curl_handle(curl_easy_init());
+}
+
+void keep_handle(connection_pool& pool, const std::string& address, curl_handle handle) {
+    const std::lock_guard guard(pool.mutex);
+    auto& idle = pool.idle[address];
+    if (idle.size() < pool.idle_limit) {
+        idle.push_back(std::move(handle));
+    }
+}
+
+curl_list header_list(const http_call& call) {
+    curl_slist* list = nullptr;
+    for (const auto& it : call.head.headers) {
+        // An empty value needs the semicolon form, or libcurl removes the header.
+        const auto line = it.value.empty() ? it.name + ";" : it.name + ": " + it.value;
+        list = curl_slist_append(list, line.c_str());
+    }
+    list = curl_slist_append(list, "Expect:");
+    if (execution::find_header(call.head.headers, "content-type").empty()) {
+        // Without this line libcurl names a form's type.
+        list = curl_slist_append(list, "Content-Type:");
+    }
+    return curl_list(list);
+}
+
+std::string url_of(const http_call& call) {
+    const auto* mark = call.head.query.empty() ? "" : "?";
+    return fmt::format("http://{}{}{}{}", call.address, call.head.path, mark, call.head.query);
+}
+
+long timeout_ms(common::time_point deadline) {
+    const auto left = common::milliseconds_between(common::monotonic::now(), deadline);
+    return std::max(least_timeout_ms, static_cast<long>(left));
+}
+
+void set_request(CURL* handle, const http_call& call, curl_slist* headers) {
+    curl_easy_setopt(handle, CURLOPT_URL, url_of(call).c_str());
+    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+    if (call.head.method == "HEAD") {
+        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    } else if (!call.body.empty() || call.head.method == "POST" || call.head.method == "PUT") {
+        // A null pointer would make libcurl ask a read callback for the body.
+        const auto* body = call.body.empty() ? "" : reinterpret_cast<const char*>(call.body.data());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body);
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+    }
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.head.method.c_str());
+}
+
+void set_limits(CURL* handle, const http_call& call) {
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, timeout_ms(call.deadline));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_MAXCONNECTS, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+}
+
+void set_callbacks(CURL* handle, call_state& state) {
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &state);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &state);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &before_sending);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &state);
+}
+
+bool has_body(const http_call& call, long status) {
+    constexpr long status_no_content = 204;
+    constexpr long status_not_modified = 304;
+    return call.head.method != "HEAD" && status != status_no_content && status != status_not_modified;
+}
+
+void count_opened(connection_pool& pool, CURL* handle) {
+    long opened = 0;
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &opened);
+    const std::lock_guard guard(pool.mutex);
+    pool.opened += static_cast<std::uint64_t>(opened);
+}
+
+} // namespace
+
+void curl_handle_deleter::operator()(CURL* handle) const {
+    curl_easy_cleanup(handle);
+}
+
+http_result call_http(connection_pool& pool, const http_call& call) {
+    auto handle = take_handle(pool, call.address);
+    call_state state;
+    const auto headers = header_list(call);
+    curl_easy_reset(handle.get());
+    set_request(handle.get(), call, headers.get());
+    set_limits(handle.get(), call);
+    set_callbacks(handle.get(), state);
+    const auto ec = curl_easy_perform(handle.get());
+    count_opened(pool, handle.get());
+    http_result result;
+    result.may_have_left = state.sending;
+    if (ec != CURLE_OK) {
+        common::fail(state.sending ? common::step::receive : common::step::connect, call.address,
+                     curl_easy_strerror(ec));
+        return result;
+    }
+    long status = 0;
+    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (has_body(call, status) && !state.has_length) {
+        common::fail(common::step::receive, call.address, "the answer's length is not known");
+        return result;
+    }
+    keep_handle(pool, call.address, std::move(handle));
+    state.response.status = static_cast<int>(status);
+    result.response = std::move(state.response);
+    return result;
+}
+
+std::size_t idle_connections(connection_pool& pool, std::string_view address) {
+    const std::lock_guard guard(pool.mutex);
+    const auto it = pool.idle.find(address);
+    return it == pool.idle.end() ? 0 : it->second.size();
+}
+
+} // namespace lycheegap::transport
--- /dev/null
+++ b/source/core/transport/record_codec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <optional>
+
+#include "core/catalog/catalog.h"
+#include "core/catalog/edit.h"
+#include "core/membership/generation.h"
+#include "core/schema/generated/catalog_generated.h"
+#include "core/schema/generated/membership_generated.h"
+#include "core/schema/generated/operators_generated.h"
+
+namespace lycheegap::transport {
+
+/// Records of the schema to the structs of the decisions and back. Parsing checks what the schema cannot.
+catalog::team_template parse_template(const schema::template_record_t& record);
+catalog::team parse_team(const schema::team_record_t& record);
+catalog::service parse_service(const schema::service_record_t& record);
+/// The reason names the record that is not valid.
+std::optional<catalog::configuration> parse_configuration(const schema::catalog_record_t& record);
+/// The reason tells when not exactly one edit is given.
+std::optional<catalog::edit> parse_edit(const schema::edit_request_t& request);
+membership::member parse_member(const schema::member_record_t& record);
+membership::generation parse_generation(const schema::generation_record_t& record);
+
+schema::template_record_t make_record(const catalog::team_template& source);
+schema::team_record_t make_record(const catalog::team& source);
+schema::service_record_t make_record(const catalog::service& source);
+schema::catalog_record_t make_record(const catalog::configuration& source);
+schema::member_record_t make_record(const membership::member& source);
+schema::generation_record_t make_record(const membership::generation& source);
+
+} // namespace lycheegap::transport
