--- /dev/null
+++ b/source/core/host/host_state.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/allowance/token_bucket.h"
+#include "core/catalog/catalog.h"
+#include "core/common/metrics.h"
+#include "core/common/worker_pool.h"
+#include "core/membership/authority.h"
+#include "core/settings/ini_settings.h"
+#include "core/steering/endpoint_choice.h"
+#include "core/transport/http_client.h"
+#include "core/transport/http_server.h"
+#include "core/transport/peer_link.h"
+#include "core/transport/store_client.h"
+
+namespace lycheegap::host {
+
+/// Shared tables of one entry host. Each has one lock; the ranks and their order stand in
+/// common/lock_rank.h. Nobody calls the network under one of these locks.
+
+struct catalog_table {
+    common::ranked_mutex mutex{common::lock_rank::catalog_table};
+    /// Never null; readers keep the pointer and not the lock.
+    std::shared_ptr<const catalog::configuration> current{std::make_shared<catalog::configuration>()};
+    /// Revision of the store's value that `current` was read from.
+    std::uint64_t store_revision{0};
+};
+
+struct membership_table {
+    common::ranked_mutex mutex{common::lock_rank::membership_table};
+    std::shared_ptr<const membership::generation> current{std::make_shared<membership::generation>()};
+    std::uint64_t store_revision{0};
+    /// Last answer of each other member.
+    std::map<std::string, membership::member_answer, std::less<>> answers;
+};
+
+struct authority_table {
+    common::ranked_mutex mutex{common::lock_rank::authority_table};
+    membership::authority held;
+};
+
+/// What this host holds and has counted for one team.
+struct team_allowance {
+    allowance::token_bucket bucket;
+    std::uint64_t admitted{0};
+    std::uint64_t refused{0};
+};
+
+struct allowance_table {
+    common::ranked_mutex mutex{common::lock_rank::allowance_table};
+    std::map<std::string, team_allowance, std::less<>> teams;
+};
+
+struct endpoint_table {
+    common::ranked_mutex mutex{common::lock_rank::endpoint_table};
+    /// By service.
+    std::map<std::string, std::vector<steering::endpoint_state>, std::less<>> services;
+    steering::random_engine random;
+};
+
+/// Everything one process of lycheegapd holds.
+struct host_state {
+    settings::daemon_settings settings;
+    /// This host with its actual addresses and incarnation.
+    membership::member self;
+    common::metrics_table metrics;
+    catalog_table catalog;
+    membership_table membership;
+    authority_table authority;
+    allowance_table allowances;
+    endpoint_table endpoints;
+    transport::connection_pool endpoint_connections;
+    transport::connection_pool store_connections;
+    transport::store_client store;
+    // The pool ends after the link and the servers that hand it work, and before the tables.
+    std::optional<transport::peer_link> peers;
+    std::optional<common::worker_pool> workers;
+    std::optional<transport::http_server> lookup_server;
+    std::optional<transport::http_server> request_server;
+    std::optional<transport::http_server> operator_server;
+};
+
+/// Current configuration; never null.
+std::shared_ptr<const catalog::configuration> current_catalog(host_state& host);
+
+/// Current generation; never null.
+std::shared_ptr<const membership::generation> current_generation(host_state& host);
+
+/// Whether this host may act on what it knows.
+bool has_authority(host_state& host, common::time_point now);
+
+/// Starts listeners, pool and upkeep. The reason names the listener that cannot open.
+std::unique_ptr<host_state> start_host(settings::daemon_settings settings);
+
+/// Leaves the generation and stops everything.
+void stop_host(host_state& host);
+
+} // namespace lycheegap::host
--- /dev/null
+++ b/source/core/host/peer_api.cpp
@@ -0,0 +1,77 @@
+#include "peer_api.h"
+
+#include "core/allowance/home.h"
+#include "core/common/log.h"
+#include "core/schema/generated/peer_generated.h"
+#include "host_state.h"
+#include "spend.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::field;
+
+schema::bytes encode_message(schema::peer_message_t message) {
+    return schema::encode<schema::peer_message>(message);
+}
+
+schema::bytes refuse(common::step at, std::string_view text) {
+    common::log_warning("peer_message_refused",
+                        {field("step", common::step_name(at)), field("reason", text)});
+    schema::peer_refusal_t refusal;
+    refusal.step = common::step_name(at);
+    refusal.text = text;
+    schema::peer_message_t message;
+    message.body.Set(std::move(refusal));
+    return encode_message(std::move(message));
+}
+
+schema::bytes answer_heartbeat(host_state& host) {
+    schema::heartbeat_answer_t answer;
+    answer.host = host.self.name;
+    answer.incarnation = host.self.incarnation;
+    answer.generation = current_generation(host)->number;
+    answer.catalog_revision = current_catalog(host)->revision;
+    schema::peer_message_t message;
+    message.body.Set(std::move(answer));
+    return encode_message(std::move(message));
+}
+
+bool is_home(host_state& host, std::string_view team) {
+    const auto members = current_generation(host);
+    const auto* home = allowance::home_of(team, *members);
+    return home != nullptr && home->name == host.self.name && home->incarnation == host.self.incarnation;
+}
+
+schema::bytes answer_tokens(host_state& host, const schema::token_request_t& request) {
+    const auto now = common::monotonic::now();
+    const auto configuration = current_catalog(host);
+    const auto team = configuration->teams.find(request.team);
+    schema::token_answer_t answer;
+    answer.wrong_home = !is_home(host, request.team) || !has_authority(host, now);
+    if (!answer.wrong_home && team != configuration->teams.end()) {
+        answer.granted = grant_tokens(host, team->second, request.tokens, now);
+    }
+    schema::peer_message_t message;
+    message.body.Set(std::move(answer));
+    return encode_message(std::move(message));
+}
+
+} // namespace
+
+schema::bytes serve_peer(host_state& host, schema::byte_view message) {
+    const auto decoded = schema::decode<schema::peer_message>(message, "peer");
+    if (!decoded) {
+        return refuse(common::step::decode, "not a valid message");
+    }
+    if (decoded->body.Asheartbeat() != nullptr) {
+        return answer_heartbeat(host);
+    }
+    if (const auto* request = decoded->body.Astoken_request()) {
+        return answer_tokens(host, *request);
+    }
+    return refuse(common::step::decode, "not a request");
+}
+
+} // namespace lycheegap::host
--- /dev/null
+++ b/source/core/host/serve_lookup.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "core/transport/http_message.h"
+
+namespace lycheegap::host {
+
+struct host_state;
+
+/// Answers which hosts a caller should use: GET /v1/lookup?region=R&failure_domain=D.
+transport::http_response serve_lookup(host_state& host, const transport::http_request& request);
+
+} // namespace lycheegap::host
