--- /dev/null
+++ b/source/lycheegap_load/main.cpp
@@ -0,0 +1,57 @@
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "core/common/process.h"
+#include "load_run.h"
+
+namespace {
+
+namespace options = boost::program_options;
+namespace load = lycheegap::load;
+
+constexpr int exit_usage = 2;
+
+options::options_description describe_options(load::load_plan& plan) {
+    options::options_description described("lycheegap_load: callers' load with seeded arrivals");
+    described.add_options()("help", "print this text");
+    described.add_options()("lookup", options::value(&plan.lookup_addresses)->multitoken()->required(),
+                            "IP numbers and ports of look-up listeners");
+    described.add_options()("region", options::value(&plan.region), "region of the callers");
+    described.add_options()("key", options::value(&plan.key), "the team's key");
+    described.add_options()("method", options::value(&plan.method), "HTTP method");
+    described.add_options()("path", options::value(&plan.path), "path of the requests");
+    described.add_options()("body", options::value(&plan.body), "body of the requests");
+    described.add_options()("rate", options::value(&plan.rate), "requests a second");
+    described.add_options()("seconds", options::value(&plan.seconds), "length of the run");
+    described.add_options()("seed", options::value(&plan.seed), "seed of the arrivals");
+    described.add_options()("workers", options::value(&plan.workers), "requests under way at once");
+    described.add_options()("timeout-ms", options::value(&plan.timeout_ms), "longest wait for an answer");
+    return described;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    if (!lycheegap::common::prepare_process()) {
+        return EXIT_FAILURE;
+    }
+    load::load_plan plan;
+    const auto described = describe_options(plan);
+    try {
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, described), given);
+        if (given.contains("help")) {
+            std::cout << described;
+            return EXIT_SUCCESS;
+        }
+        options::notify(given);
+    } catch (const options::error& ec) {
+        std::cerr << "lycheegap_load: " << ec.what() << '\n' << described;
+        return exit_usage;
+    }
+    const auto ends = load::run_load(plan);
+    std::cout << load::outcome_table(ends) << load::summary_line(load::summarize(ends)) << '\n';
+    return EXIT_SUCCESS;
+}
