--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -29,6 +29,8 @@
     host.self.failure_domain = settings.host->failure_domain;
     host.self.incarnation = common::system_random();
     host.endpoints.random.seed(seed_of(settings));
+    host.endpoint_connections.source_address = settings.host->address;
+    host.store_connections.source_address = settings.host->address;
     host.store.address = settings.store->address;
     host.store.call_timeout = common::milliseconds(settings.store->call_timeout);
     host.store.connections = &host.store_connections;
@@ -78,7 +80,8 @@
 
 void name_own_addresses(host_state& host) {
     const auto& ip = host.settings.host->address;
-    host.self.peer_address = transport::join_address(ip, host.peers->port());
+    const int advertised = host.settings.peers->advertised_port;
+    host.self.peer_address = transport::join_address(ip, advertised != 0 ? advertised : host.peers->port());
     host.self.lookup_address = transport::join_address(ip, host.lookup_server->port());
     host.self.request_address = transport::join_address(ip, host.request_server->port());
     host.self.operator_address = transport::join_address(ip, host.operator_server->port());
--- a/source/core/transport/http_client.cpp
+++ b/source/core/transport/http_client.cpp
@@ -189,6 +189,9 @@
     set_request(handle.get(), call, headers.get());
     set_limits(handle.get(), call);
     set_callbacks(handle.get(), state);
+    if (!pool.source_address.empty()) {
+        curl_easy_setopt(handle.get(), CURLOPT_INTERFACE, ("host!" + pool.source_address).c_str());
+    }
     const auto ec = curl_easy_perform(handle.get());
     count_opened(pool, handle.get());
     http_result result;
--- a/source/core/transport/http_client.h
+++ b/source/core/transport/http_client.h
@@ -44,6 +44,8 @@
     std::map<std::string, std::vector<curl_handle>, std::less<>> idle;
     /// Connections opened since the start.
     std::uint64_t opened{0};
+    /// IP number that connections leave from; empty takes any.
+    std::string source_address;
     /// Idle connections kept for each address.
     std::size_t idle_limit{64};
 };
--- a/source/core/transport/peer_link.cpp
+++ b/source/core/transport/peer_link.cpp
@@ -115,6 +115,16 @@
     close_session(*session, why);
 }
 
+/// Hosts know each other by their addresses, so a connection leaves from the host's own one.
+void bind_source(int fd, const std::string& address) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    inet_pton(AF_INET, address.c_str(), &own.sin_addr);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+    [[maybe_unused]] const int ec = bind(fd, reinterpret_cast<const sockaddr*>(&own), sizeof own);
+}
+
 peer_session* connect_to(link_state& link, const std::string& address) {
     const auto target = split_address(address);
     if (!target) {
@@ -128,6 +138,7 @@
         return nullptr;
     }
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    bind_source(fd, link.options.address);
     const auto result = connect(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where);
     if (result != 0 && errno != EINPROGRESS) {
         fail(step::connect, address, std::strerror(errno));
--- /dev/null
+++ b/source/unit_tests/common/common_test.cpp
@@ -0,0 +1,61 @@
+#include <atomic>
+
+#include <doctest/doctest.h>
+
+#include "core/common/digest.h"
+#include "core/common/last_reason.h"
+#include "core/common/log.h"
+#include "core/common/metrics.h"
+#include "core/common/worker_pool.h"
+
+namespace lycheegap::common {
+
+TEST_CASE("a failure keeps step, peer and text for its thread") {
+    const std::optional<int> none = fail(step::connect, "127.0.0.1:1", "refused");
+    CHECK_FALSE(none);
+    CHECK(describe(last_reason()) == "step connect at '127.0.0.1:1': refused");
+}
+
+TEST_CASE("a log line quotes values with spaces and keeps to one line") {
+    CHECK(format_line("x", {{"a", "b"}, {"c", "d e"}, {"f", "g\nh"}}) == "event=x a=b c=\"d e\" f=\"g h\"");
+}
+
+TEST_CASE("lock ranks allow rising order only") {
+    CHECK(may_take(lock_rank::catalog_table, lock_rank::membership_table));
+    CHECK_FALSE(may_take(lock_rank::membership_table, lock_rank::catalog_table));
+    CHECK_FALSE(may_take(lock_rank::leaf, lock_rank::leaf));
+}
+
+TEST_CASE("the pool runs work in order of due time and drops the rest at its stop") {
+    std::atomic<int> ran{0};
+    std::atomic<bool> done{false};
+    worker_pool pool(2);
+    pool.submit_at(monotonic::now() + milliseconds(20), [&] { done = ran == 1; });
+    pool.submit([&] { ran = 1; });
+    pool.submit_at(monotonic::now() + std::chrono::hours(1), [&] { ran = 100; });
+    while (!done) {
+        std::this_thread::yield();
+    }
+    pool.stop();
+    CHECK(ran == 1);
+}
+
+TEST_CASE("secrets compare equal only when they are") {
+    CHECK(equal_secrets("a", "a"));
+    CHECK_FALSE(equal_secrets("a", "b"));
+    CHECK_FALSE(equal_secrets("a", ""));
+    CHECK(key_digest("a").size() == 64);
+}
+
+TEST_CASE("metrics come out in the exposition format") {
+    metrics_table table;
+    count(table, "lookups", 3);
+    measure(table, "request_ms", 2);
+    measure(table, "request_ms", 4);
+    const auto text = exposition_text(read_metrics(table));
+    CHECK(text.find("lycheegap_lookups 3\n") != std::string::npos);
+    CHECK(text.find("lycheegap_request_ms_sum 6\n") != std::string::npos);
+    CHECK(text.find("lycheegap_request_ms_count 2\n") != std::string::npos);
+}
+
+} // namespace lycheegap::common
--- a/source/unit_tests/main.cpp
+++ b/source/unit_tests/main.cpp
@@ -1,2 +1,12 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
+
+#include "core/common/process.h"
+
+int main(int argc, char** argv) {
+    if (!lycheegap::common::prepare_process()) {
+        return EXIT_FAILURE;
+    }
+    doctest::Context context(argc, argv);
+    return context.run();
+}
--- /dev/null
+++ b/source/unit_tests/membership/membership_test.cpp
@@ -0,0 +1,76 @@
+#include <doctest/doctest.h>
+
+#include "core/membership/authority.h"
+
+namespace lycheegap::membership {
+
+namespace {
+
+using common::milliseconds;
+using common::time_point;
+
+const time_point start{milliseconds(1'000'000)};
+constexpr milliseconds length(3000);
+
+generation three() {
+    generation it;
+    for (const auto* name : {"a", "b", "c"}) {
+        member host;
+        host.name = name;
+        host.incarnation = 1;
+        it = with_member(it, host);
+    }
+    return it;
+}
+
+member_answer answer_of(const char* name, int asked_ms, std::uint64_t revision) {
+    return {name, 1, start + milliseconds(asked_ms), revision, 3};
+}
+
+} // namespace
+
+TEST_CASE("a member's new incarnation replaces the old one") {
+    auto it = three();
+    CHECK(it.number == 3);
+    member again;
+    again.name = "b";
+    again.incarnation = 2;
+    it = with_member(it, again);
+    CHECK(it.members.size() == 3);
+    CHECK_FALSE(is_member(it, "b", 1));
+    CHECK(is_member(it, "b", 2));
+    CHECK(without_member(it, "b", 1).number == it.number);
+    CHECK(without_member(it, "b", 2).members.size() == 2);
+}
+
+TEST_CASE("the store's word counts from the question") {
+    authority held;
+    extend_by_store(held, start, length);
+    CHECK(holds(held, start + milliseconds(2999)));
+    CHECK_FALSE(holds(held, start + milliseconds(3000)));
+    extend_by_store(held, start - milliseconds(500), length);
+    CHECK(holds(held, start + milliseconds(2999)));
+}
+
+TEST_CASE("more than half of the members extend, from the oldest question that is needed") {
+    authority held;
+    const auto now = start + milliseconds(1000);
+    const std::vector<member_answer> answers = {answer_of("b", 200, 7), answer_of("c", 700, 7)};
+    extend_by_members(held, three(), {"a", 1, 7}, answers, now, length);
+    CHECK(held.deadline == start + milliseconds(700) + length);
+}
+
+TEST_CASE("a member that knows a newer revision, or is no member, does not count") {
+    authority held;
+    const std::vector<member_answer> newer = {answer_of("b", 0, 8), answer_of("c", 0, 8)};
+    extend_by_members(held, three(), {"a", 1, 7}, newer, start, length);
+    CHECK_FALSE(holds(held, start));
+    const std::vector<member_answer> stranger = {answer_of("x", 0, 7), {"b", 9, start, 7, 3}};
+    extend_by_members(held, three(), {"a", 1, 7}, stranger, start, length);
+    CHECK_FALSE(holds(held, start));
+    const std::vector<member_answer> good = {answer_of("b", 0, 7)};
+    extend_by_members(held, three(), {"a", 2, 7}, good, start, length);
+    CHECK_FALSE(holds(held, start));
+}
+
+} // namespace lycheegap::membership
--- /dev/null
+++ b/source/unit_tests/transport/transport_test.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include "core/common/last_reason.h"
+#include "core/schema/codec.h"
+#include "core/transport/http_client.h"
+#include "core/transport/http_server.h"
+#include "core/transport/listen_socket.h"
+#include "core/transport/peer_link.h"
+#include "core/transport/record_codec.h"
+
+namespace lycheegap::transport {
+
+namespace {
+
+common::time_point soon() {
+    return common::monotonic::now() + common::milliseconds(5000);
+}
+
+} // namespace
+
+TEST_CASE("records survive encoding, decoding and JSON") {
+    schema::team_record_t team;
+    team.name = "kite";
+    team.rate = 2.5;
+    team.key_digests = {"d"};
+    const auto encoded = schema::encode<schema::team_record>(team);
+    CHECK(schema::decode<schema::team_record>(encoded, "x")->rate == 2.5);
+    const auto text = schema::to_json<schema::team_record>(team);
+    CHECK(schema::from_json<schema::team_record>(text, "x")->key_digests == team.key_digests);
+    CHECK_FALSE(schema::from_json<schema::team_record>("{\"colour\":1}", "x"));
+    CHECK(common::last_reason().at == common::step::decode);
+    const schema::bytes broken(encoded.begin(), encoded.begin() + 12);
+    CHECK_FALSE(schema::decode<schema::team_record>(broken, "x"));
+}
+
+TEST_CASE("a call gets its own whole answer and keeps the connection") {
+    auto server = start_http_server({"127.0.0.1", 0, 2, 64, 1024}, [](const http_request& request) {
+        return http_response{200, {{"x-query", request.head.query}}, std::string(as_text(request.body))};
+    });
+    REQUIRE(server);
+    connection_pool pool;
+    const auto address = join_address("127.0.0.1", server->port());
+    for (int n = 0; n < 3; ++n) {
+        const http_call call{address, {"POST", "/p", "a=1", {}}, as_bytes("body"), soon()};
+        const auto result = call_http(pool, call);
+        REQUIRE(result.response);
+        CHECK(result.response->body == "body");
+        CHECK(execution::find_header(result.response->headers, "x-query") == "a=1");
+    }
+    CHECK(pool.opened == 1);
+    const http_call large{address, {"POST", "/p", "", {}}, as_bytes(std::string(2000, 'x')), soon()};
+    CHECK(call_http(pool, large).response->status == 413);
+}
+
+TEST_CASE("a port in use is named") {
+    const auto first = open_listener("127.0.0.1", 0);
+    REQUIRE(first);
+    CHECK_FALSE(open_listener("127.0.0.1", first->port));
+    CHECK(common::last_reason().peer == join_address("127.0.0.1", first->port));
+}
+
+TEST_CASE("a call that could not connect says that nothing left") {
+    const auto closed = open_listener("127.0.0.1", 0);
+    const auto address = join_address("127.0.0.1", closed->port);
+    close(closed->fd);
+    connection_pool pool;
+    const auto result = call_http(pool, {address, {"GET", "/", "", {}}, {}, soon()});
+    CHECK_FALSE(result.response);
+    CHECK_FALSE(result.may_have_left);
+}
+
+TEST_CASE("peers answer each other's calls; a silent handler ends at the deadline") {
+    common::worker_pool pool(2);
+    const auto echo = [](schema::bytes message, const peer_responder& respond) {
+        if (!message.empty()) {
+            respond(std::move(message));
+        }
+    };
+    auto server = start_peer_link({"127.0.0.1", 0, "s"}, pool, echo);
+    auto client = start_peer_link({"127.0.0.1", 0, "s"}, pool, echo);
+    REQUIRE(server);
+    REQUIRE(client);
+    const auto address = join_address("127.0.0.1", server->port());
+    const schema::bytes large(300'000, std::byte{7});
+    CHECK(client->call_and_wait(address, large, soon()) == large);
+    CHECK_FALSE(client->call_and_wait(address, {}, common::monotonic::now() + common::milliseconds(50)));
+    CHECK(common::last_reason().text == "no answer before the deadline");
+    CHECK(client->call_and_wait(address, large, soon()) == large);
+    server->stop();
+    CHECK_FALSE(client->call_and_wait(address, large, soon()));
+    client->stop();
+    pool.stop();
+}
+
+} // namespace lycheegap::transport
