--- a/source/core/host/serve_request.cpp
+++ b/source/core/host/serve_request.cpp
@@ -1,7 +1,6 @@
 #include "serve_request.h"
 
 #include <atomic>
-#include <mutex>
 
 #include <fmt/format.h>
 
@@ -11,6 +10,7 @@
 #include "core/execution/attempt.h"
 #include "core/schema/codec.h"
 #include "core/schema/generated/callers_generated.h"
+#include "endpoint_use.h"
 #include "host_state.h"
 #include "spend.h"
 
@@ -25,7 +25,6 @@
 using transport::http_request;
 using transport::http_response;
 
-constexpr auto avoid_after_failure = common::milliseconds(500);
 constexpr std::string_view shed_header = "x-shed";
 constexpr std::string_view request_id_header = "x-request-id";
 constexpr std::string_view deadline_header = "x-deadline-ms";
@@ -137,39 +136,6 @@
     return std::nullopt;
 }
 
-/// Takes a slot of an endpoint; empty when none is free.
-std::optional<std::string> take_endpoint(host_state& host, const exchange& it, std::string_view excluded) {
-    const std::lock_guard guard(host.endpoints.mutex);
-    const auto service = host.endpoints.services.find(it.match.rule->service);
-    if (service == host.endpoints.services.end()) {
-        return std::nullopt;
-    }
-    const auto chosen = steering::choose_endpoint(service->second, host.self.region, excluded,
-                                                  monotonic::now(), host.endpoints.random);
-    if (!chosen) {
-        return std::nullopt;
-    }
-    auto& endpoint = service->second[*chosen];
-    ++endpoint.in_flight;
-    return endpoint.address;
-}
-
-void give_back_endpoint(host_state& host, const exchange& it, std::string_view address, attempt_result result,
-                        double latency_ms) {
-    const std::lock_guard guard(host.endpoints.mutex);
-    for (auto& endpoint : host.endpoints.services[it.match.rule->service]) {
-        if (endpoint.address != address) {
-            continue;
-        }
-        --endpoint.in_flight;
-        if (result == attempt_result::answered) {
-            steering::note_latency(endpoint, latency_ms);
-        } else {
-            endpoint.avoid_until = monotonic::now() + avoid_after_failure;
-        }
-    }
-}
-
 execution::request_head head_for_endpoint(const exchange& it) {
     auto head = it.head;
     const auto is_replaced = [](const execution::header& header) {
@@ -206,7 +172,7 @@
     auto outcome = transport::call_http(host.endpoint_connections, call);
     const auto result = classify(outcome);
     const double latency_ms = common::seconds_between(began_at, monotonic::now()) * 1000;
-    give_back_endpoint(host, it, address, result, latency_ms);
+    give_back_endpoint(host, it.match.rule->service, address, result, latency_ms);
     if (result != attempt_result::answered) {
         common::log_warning("attempt_failed", {field("request", it.request_id), field("endpoint", address),
                                                field("reason", common::last_reason().text)});
@@ -219,7 +185,7 @@
                                    false};
     std::string tried;
     while (true) {
-        const auto address = take_endpoint(host, it, tried);
+        const auto address = take_endpoint(host, it.match.rule->service, tried);
         if (!address) {
             return refuse(host, it, refusal_reason::endpoint, state.may_have_run, "no endpoint is free");
         }
--- a/source/core/host/upkeep.cpp
+++ b/source/core/host/upkeep.cpp
@@ -1,13 +1,14 @@
 #include "upkeep.h"
 
-#include <algorithm>
 #include <mutex>
 
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
 #include "core/transport/record_codec.h"
+#include "endpoint_use.h"
 #include "host_state.h"
+#include "periodic.h"
 #include "store_keys.h"
 
 namespace lycheegap::host {
@@ -35,42 +36,6 @@
     membership::extend_by_store(host.authority.held, asked_at, authority_length(host));
 }
 
-steering::endpoint_state fresh_state(const std::string& service, const catalog::endpoint& source) {
-    steering::endpoint_state state;
-    state.service = service;
-    state.name = source.name;
-    state.address = source.address;
-    state.region = source.region;
-    state.slots = source.slots;
-    return state;
-}
-
-std::vector<steering::endpoint_state> merged_states(const catalog::service& service,
-                                                    const std::vector<steering::endpoint_state>& before) {
-    std::vector<steering::endpoint_state> after;
-    for (const auto& it : service.endpoints) {
-        auto state = fresh_state(service.name, it);
-        const auto same_address = [&](const auto& old) { return old.address == it.address; };
-        const auto known = std::find_if(before.begin(), before.end(), same_address);
-        if (known != before.end()) {
-            state.in_flight = known->in_flight;
-            state.latency_ms = known->latency_ms;
-            state.avoid_until = known->avoid_until;
-        }
-        after.push_back(std::move(state));
-    }
-    return after;
-}
-
-void take_endpoints(host_state& host, const catalog::configuration& configuration) {
-    const std::lock_guard guard(host.endpoints.mutex);
-    std::map<std::string, std::vector<steering::endpoint_state>, std::less<>> services;
-    for (const auto& [name, service] : configuration.services) {
-        services[name] = merged_states(service, host.endpoints.services[name]);
-    }
-    host.endpoints.services.swap(services);
-}
-
 bool take_catalog(host_state& host, std::shared_ptr<const catalog::configuration> fresh,
                   std::uint64_t store_revision) {
     const std::lock_guard guard(host.catalog.mutex);
@@ -108,7 +73,7 @@
             return;
         }
         const auto fresh = std::make_shared<const catalog::configuration>(std::move(*parsed));
-        take_endpoints(host, *fresh);
+        take_services(host, *fresh);
         if (take_catalog(host, fresh, value->revision)) {
             common::log_info("catalog_taken", {field("revision", fresh->revision)});
         }
@@ -207,20 +172,14 @@
     }
 }
 
-void repeat(host_state& host, milliseconds interval, void (*task)(host_state&)) {
-    task(host);
-    host.workers->submit_at(monotonic::now() + interval,
-                            [&host, interval, task] { repeat(host, interval, task); });
-}
-
 } // namespace
 
 void start_upkeep(host_state& host) {
     const milliseconds poll(host.settings.store->poll_interval);
     const milliseconds beat(host.settings.peers->heartbeat_interval);
-    host.workers->submit([&host, poll] { repeat(host, poll, &refresh_catalog); });
-    host.workers->submit([&host, poll] { repeat(host, poll, &refresh_generation); });
-    host.workers->submit([&host, beat] { repeat(host, beat, &send_heartbeats); });
+    start_periodic(host, poll, &refresh_catalog);
+    start_periodic(host, poll, &refresh_generation);
+    start_periodic(host, beat, &send_heartbeats);
 }
 
 void leave_generation(host_state& host) {
