Run non-idempotent requests at most once, by ids made of a look-up's ticket

Cause: a repeated booking was run again, since ids were only passed on. Change: a look-up answer carries a ticket of the host that issued it; only that incarnation runs ids of the ticket and remembers their outcomes until the very moment at which they stop working. Other hosts forward on workers of their own; a host that is gone means outcome unknown. GET /v1/outcomes/ID settles an id: one that has not arrived never runs. Requests of class once without an id are refused as not run, with a ticket. Ruled out: claims in the store (a write per booking, lost in an outage); an id made by the host for a caller without one (its retry would book twice); tickets that name another host (expiry would need a common clock).

--- /dev/null
+++ b/source/core/host/attempts.cpp
@@ -0,0 +1,114 @@
+#include "attempts.h"
+
+#include <algorithm>
+
+#include "admission.h"
+#include "core/common/last_reason.h"
+#include "core/common/log.h"
+#include "core/execution/attempt.h"
+#include "endpoint_use.h"
+#include "host_state.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::field;
+using common::monotonic;
+using execution::attempt_result;
+using execution::next_action;
+using transport::http_response;
+
+constexpr std::string_view shed_header = "x-shed";
+
+bool is_replaced(const execution::header& header) {
+    return execution::same_name(header.name, "host") || execution::same_name(header.name, "connection") ||
+           execution::same_name(header.name, "content-length") ||
+           execution::same_name(header.name, "transfer-encoding") ||
+           execution::same_name(header.name, "expect") ||
+           execution::same_name(header.name, request_id_header) ||
+           execution::same_name(header.name, deadline_header);
+}
+
+execution::request_head head_for_endpoint(const exchange& it) {
+    auto head = it.head;
+    std::erase_if(head.headers, is_replaced);
+    head.headers.push_back({std::string(request_id_header), it.request_id});
+    const auto left = std::max<std::int64_t>(0, common::milliseconds_between(monotonic::now(), it.deadline));
+    head.headers.push_back({std::string(deadline_header), std::to_string(left)});
+    return head;
+}
+
+attempt_result classify(const transport::http_result& result) {
+    if (!result.response) {
+        return result.may_have_left ? attempt_result::lost : attempt_result::not_sent;
+    }
+    const bool shed = !execution::find_header(result.response->headers, shed_header).empty();
+    return shed ? attempt_result::shed : attempt_result::answered;
+}
+
+struct attempt_end {
+    attempt_result result{attempt_result::not_sent};
+    std::optional<http_response> response;
+};
+
+attempt_end attempt_at(host_state& host, const exchange& it, const std::string& address) {
+    const auto began_at = monotonic::now();
+    transport::http_call call{address, head_for_endpoint(it), it.body, it.deadline};
+    auto outcome = transport::call_http(host.endpoint_connections, call);
+    const auto result = classify(outcome);
+    const double latency_ms = common::seconds_between(began_at, monotonic::now()) * 1000;
+    give_back_endpoint(host, it.match.rule->service, address, result, latency_ms);
+    if (result != attempt_result::answered) {
+        common::log_warning("attempt_failed", {field("request", it.request_id), field("endpoint", address),
+                                               field("reason", common::last_reason().text)});
+    }
+    return {result, std::move(outcome.response)};
+}
+
+/// Only this host says how a request ended.
+served pass_answer(http_response answer) {
+    std::erase_if(answer.headers, [](const execution::header& header) {
+        return execution::same_name(header.name, outcome_header);
+    });
+    return {std::move(answer), execution::outcome_state::answered};
+}
+
+served run_attempts(host_state& host, const exchange& it) {
+    execution::attempt_state state{it.match.rule->work, 0, it.match.source->attempt_limit, it.deadline,
+                                   false};
+    std::string tried;
+    while (true) {
+        const auto address = take_endpoint(host, it.match.rule->service, tried);
+        if (!address) {
+            return refuse(host, it, refusal_reason::endpoint, state.may_have_run, "no endpoint is free");
+        }
+        auto end = attempt_at(host, it, *address);
+        switch (execution::after_attempt(state, end.result, monotonic::now())) {
+        case next_action::pass_answer:
+            return pass_answer(std::move(*end.response));
+        case next_action::refuse_not_run:
+            return refuse(host, it, refusal_reason::endpoint, false, "no endpoint took the request");
+        case next_action::refuse_unknown:
+            return refuse(host, it, refusal_reason::endpoint, true, "the endpoint's answer was lost");
+        case next_action::try_again:
+            tried = *address;
+        }
+    }
+}
+
+} // namespace
+
+served run_exchange(host_state& host, const exchange& it) {
+    if (auto refused = spend(host, it)) {
+        return std::move(*refused);
+    }
+    auto end = run_attempts(host, it);
+    common::measure(host.metrics, "request_ms",
+                    common::seconds_between(it.arrived_at, monotonic::now()) * 1000);
+    common::log_debug("request_served",
+                      {field("request", it.request_id), field("status", end.response.status)});
+    return end;
+}
+
+} // namespace lycheegap::host
--- /dev/null
+++ b/source/core/host/forward.cpp
@@ -0,0 +1,257 @@
+#include "forward.h"
+
+#include <algorithm>
+#include <mutex>
+
+#include "admission.h"
+#include "core/common/last_reason.h"
+#include "core/common/log.h"
+#include "host_state.h"
+#include "once.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::field;
+using common::milliseconds;
+using common::monotonic;
+
+/// The holder ends at the deadline; its refusal needs a little longer.
+constexpr auto answer_margin = milliseconds(300);
+constexpr auto question_timeout = milliseconds(500);
+constexpr std::size_t hosts_asked = 3;
+constexpr int holders_tried = 2;
+
+std::vector<std::unique_ptr<schema::header_record_t>>
+make_headers(const std::vector<execution::header>& source) {
+    std::vector<std::unique_ptr<schema::header_record_t>> records;
+    for (const auto& it : source) {
+        auto record = std::make_unique<schema::header_record_t>();
+        record->name = it.name;
+        record->value = it.value;
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+std::vector<execution::header>
+parse_headers(const std::vector<std::unique_ptr<schema::header_record_t>>& records) {
+    std::vector<execution::header> headers;
+    for (const auto& it : records) {
+        headers.push_back({it->name, it->value});
+    }
+    return headers;
+}
+
+std::vector<std::uint8_t> to_octets(std::string_view text) {
+    return {text.begin(), text.end()};
+}
+
+std::string_view to_text(const std::vector<std::uint8_t>& octets) {
+    return {reinterpret_cast<const char*>(octets.data()), octets.size()};
+}
+
+schema::bytes encode_forward(const exchange& it) {
+    schema::forward_request_t request;
+    request.request_id = it.request_id;
+    request.method = it.head.method;
+    request.path = it.head.path;
+    request.query = it.head.query;
+    request.headers = make_headers(it.head.headers);
+    request.body = to_octets(transport::as_text(it.body));
+    request.key_digest = it.key_digest;
+    request.timeout = static_cast<int>(common::milliseconds_between(monotonic::now(), it.deadline));
+    schema::peer_message_t message;
+    message.body.Set(std::move(request));
+    return schema::encode<schema::peer_message>(message);
+}
+
+std::optional<schema::peer_message_t> ask_member(host_state& host, const membership::member& target,
+                                                 schema::bytes message, common::time_point deadline) {
+    const auto answer = host.peers->call_and_wait(target.peer_address, std::move(message), deadline);
+    return answer ? schema::decode<schema::peer_message>(*answer, target.peer_address) : std::nullopt;
+}
+
+std::optional<served> forward_to(host_state& host, const exchange& it, const membership::member& holder) {
+    const auto decoded = ask_member(host, holder, encode_forward(it), it.deadline + answer_margin);
+    const auto* answer = decoded ? decoded->body.Asforward_answer() : nullptr;
+    if (answer == nullptr) {
+        common::log_warning("forward_failed", {field("request", it.request_id), field("holder", holder.name),
+                                               field("reason", common::last_reason().text)});
+        return std::nullopt;
+    }
+    served end;
+    end.response.status = answer->status;
+    end.response.headers = parse_headers(answer->headers);
+    end.response.body = to_text(answer->body);
+    return end;
+}
+
+std::optional<std::uint64_t> known_successor(host_state& host, std::uint64_t incarnation) {
+    const std::lock_guard guard(host.outcomes.mutex);
+    const auto it = host.outcomes.successors.find(incarnation);
+    return it == host.outcomes.successors.end() ? std::nullopt : std::optional(it->second.incarnation);
+}
+
+const membership::member* find_incarnation(const membership::generation& members, std::uint64_t incarnation) {
+    const auto& list = members.members;
+    const auto it = std::find_if(list.begin(), list.end(),
+                                 [&](const auto& one) { return one.incarnation == incarnation; });
+    return it == list.end() ? nullptr : &*it;
+}
+
+/// Asks a few members who took over; every member was told.
+std::optional<std::uint64_t> asked_successor(host_state& host, std::uint64_t incarnation,
+                                             common::time_point deadline) {
+    schema::outcome_question_t question;
+    question.successor_of = incarnation;
+    schema::peer_message_t message;
+    message.body.Set(std::move(question));
+    const auto encoded = schema::encode<schema::peer_message>(message);
+    const auto members = current_generation(host);
+    std::size_t asked = 0;
+    for (const auto& it : members->members) {
+        if (it.incarnation == host.self.incarnation) {
+            continue;
+        }
+        if (++asked > hosts_asked) {
+            break;
+        }
+        const auto until = std::min(deadline, monotonic::now() + question_timeout);
+        const auto decoded = ask_member(host, it, encoded, until);
+        const auto* answer = decoded ? decoded->body.Asoutcome_answer() : nullptr;
+        if (answer != nullptr && answer->successor != 0) {
+            return answer->successor;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> next_holder(host_state& host, std::uint64_t incarnation,
+                                         common::time_point deadline) {
+    const auto known = known_successor(host, incarnation);
+    return known ? known : asked_successor(host, incarnation, deadline);
+}
+
+struct forwarded_call {
+    schema::forward_request_t request;
+    common::time_point arrived_at;
+};
+
+exchange make_exchange(host_state& host, const forwarded_call& call) {
+    exchange it;
+    it.head.method = call.request.method;
+    it.head.path = call.request.path;
+    it.head.query = call.request.query;
+    it.head.headers = parse_headers(call.request.headers);
+    it.body = transport::as_bytes(to_text(call.request.body));
+    it.key_digest = call.request.key_digest;
+    it.request_id = call.request.request_id;
+    it.id = execution::parse_request_id(it.request_id);
+    it.configuration = current_catalog(host);
+    it.arrived_at = call.arrived_at;
+    return it;
+}
+
+served run_forwarded(host_state& host, const forwarded_call& call) {
+    auto it = make_exchange(host, call);
+    if (!it.id || !holds_outcomes(host, it.id->source.incarnation)) {
+        return refuse(host, it, refusal_reason::home, true, "this host does not remember the id");
+    }
+    if (auto refused = admit(host, it)) {
+        return settle_refusal(host, it, std::move(*refused));
+    }
+    it.deadline = std::min(it.deadline, call.arrived_at + milliseconds(std::max(0, call.request.timeout)));
+    return run_once(host, it);
+}
+
+schema::bytes encode_answer(const served& end) {
+    schema::forward_answer_t answer;
+    answer.status = end.response.status;
+    answer.headers = make_headers(end.response.headers);
+    answer.body = to_octets(end.response.body);
+    schema::peer_message_t message;
+    message.body.Set(std::move(answer));
+    return schema::encode<schema::peer_message>(message);
+}
+
+bool take_forward_place(host_state& host) {
+    const auto& set = *host.settings.outcomes;
+    const std::lock_guard guard(host.outcomes.mutex);
+    if (host.outcomes.forwarded >= set.forward_workers + set.forward_queue) {
+        return false;
+    }
+    ++host.outcomes.forwarded;
+    return true;
+}
+
+void give_forward_place(host_state& host) {
+    const std::lock_guard guard(host.outcomes.mutex);
+    --host.outcomes.forwarded;
+    host.outcomes.changed.notify_all();
+}
+
+served refuse_crowded(host_state& host, const forwarded_call& call) {
+    const auto it = make_exchange(host, call);
+    auto refused = refuse(host, it, refusal_reason::queue, false, "too many requests from other hosts");
+    return settle_refusal(host, it, std::move(refused));
+}
+
+} // namespace
+
+std::optional<membership::member> find_holder(host_state& host, std::uint64_t incarnation,
+                                              common::time_point deadline) {
+    for (int n = 0; n < holders_tried; ++n) {
+        const auto members = current_generation(host);
+        if (const auto* found = find_incarnation(*members, incarnation)) {
+            return *found;
+        }
+        const auto next = next_holder(host, incarnation, deadline);
+        if (!next) {
+            return std::nullopt;
+        }
+        incarnation = *next;
+    }
+    return std::nullopt;
+}
+
+served forward_to_holder(host_state& host, const exchange& it) {
+    auto incarnation = it.id->source.incarnation;
+    for (int n = 0; n < holders_tried; ++n) {
+        const auto holder = find_holder(host, incarnation, it.deadline);
+        if (!holder) {
+            return refuse(host, it, refusal_reason::home, true, "the ticket's host is gone");
+        }
+        if (auto end = forward_to(host, it, *holder)) {
+            return std::move(*end);
+        }
+        const auto next = known_successor(host, incarnation);
+        if (!next) {
+            break;
+        }
+        incarnation = *next;
+    }
+    return refuse(host, it, refusal_reason::home, true, "the ticket's host gives no answer");
+}
+
+bool take_forwarded(host_state& host, schema::byte_view message, const transport::peer_responder& respond) {
+    auto decoded = schema::decode<schema::peer_message>(message, "peer");
+    auto* request = decoded ? decoded->body.Asforward_request() : nullptr;
+    if (request == nullptr) {
+        return false;
+    }
+    const auto call =
+        std::make_shared<const forwarded_call>(forwarded_call{std::move(*request), monotonic::now()});
+    if (!take_forward_place(host)) {
+        respond(encode_answer(refuse_crowded(host, *call)));
+        return true;
+    }
+    host.forward_workers->submit([&host, call, respond] {
+        respond(encode_answer(run_forwarded(host, *call)));
+        give_forward_place(host);
+    });
+    return true;
+}
+
+} // namespace lycheegap::host
--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -5,6 +5,7 @@
 #include "core/common/digest.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
+#include "forward.h"
 #include "operator_api.h"
 #include "peer_api.h"
 #include "serve_lookup.h"
@@ -35,6 +36,7 @@
     host.store.call_timeout = common::milliseconds(settings.store->call_timeout);
     host.store.connections = &host.store_connections;
     host.store.metrics = &host.metrics;
+    open_outcomes(host);
 }
 
 http_server_options listener_options(const host_state& host, int port, int workers) {
@@ -50,10 +52,13 @@
 bool start_peers(host_state& host) {
     const auto& peers = *host.settings.peers;
     host.workers.emplace(host.settings.process->workers);
+    host.forward_workers.emplace(host.settings.outcomes->forward_workers);
     host.peers = transport::start_peer_link(
         {host.settings.host->address, peers.port, peers.secret}, *host.workers,
         [&host](schema::byte_view message, const transport::peer_responder& respond) {
-            respond(serve_peer(host, message));
+            if (!take_forwarded(host, message, respond)) {
+                respond(serve_peer(host, message));
+            }
         });
     return host.peers.has_value();
 }
@@ -129,6 +134,7 @@
     host.operator_server->stop();
     host.peers->stop();
     host.workers->stop();
+    host.forward_workers->stop();
     common::log_info("stopped", {common::field("host", host.self.name)});
 }
 
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -17,6 +17,7 @@
 #include "core/transport/http_server.h"
 #include "core/transport/peer_link.h"
 #include "core/transport/store_client.h"
+#include "outcome_table.h"
 
 namespace lycheegap::host {
 
@@ -74,12 +75,15 @@
     authority_table authority;
     allowance_table allowances;
     endpoint_table endpoints;
+    outcome_table outcomes;
     transport::connection_pool endpoint_connections;
     transport::connection_pool store_connections;
     transport::store_client store;
     // The pool ends after the link and the servers that hand it work, and before the tables.
     std::optional<transport::peer_link> peers;
     std::optional<common::worker_pool> workers;
+    /// Run what other hosts pass on, so that a long wait holds no worker of the peers' messages.
+    std::optional<common::worker_pool> forward_workers;
     std::optional<transport::http_server> lookup_server;
     std::optional<transport::http_server> request_server;
     std::optional<transport::http_server> operator_server;
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -4,6 +4,7 @@
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
 #include "host_state.h"
+#include "inquiry.h"
 #include "spend.h"
 
 namespace lycheegap::host {
@@ -71,6 +72,11 @@
     if (const auto* request = decoded->body.Astoken_request()) {
         return answer_tokens(host, *request);
     }
+    if (const auto* question = decoded->body.Asoutcome_question()) {
+        schema::peer_message_t answer;
+        answer.body.Set(answer_outcome_question(host, *question));
+        return encode_message(answer);
+    }
     return refuse(common::step::decode, "not a request");
 }
 
--- a/source/core/host/serve_lookup.cpp
+++ b/source/core/host/serve_lookup.cpp
@@ -36,6 +36,7 @@
     const auto seed = common::stable_hash(request.peer);
     schema::lookup_answer_t answer;
     answer.expires_at = common::unix_milliseconds() + answer_lifetime_ms;
+    answer.ticket = new_ticket(host);
     for (const auto& it : steering::order_hosts(*members, place, seed, hosts_per_answer)) {
         answer.hosts.push_back(make_host(it));
     }
--- a/source/core/host/upkeep.cpp
+++ b/source/core/host/upkeep.cpp
@@ -20,6 +20,7 @@
 using common::monotonic;
 
 constexpr int swap_attempts = 5;
+constexpr milliseconds outcome_sweep_interval(1000);
 
 milliseconds authority_length(const host_state& host) {
     return milliseconds(host.settings.authority->length);
@@ -180,6 +181,7 @@
     start_periodic(host, poll, &refresh_catalog);
     start_periodic(host, poll, &refresh_generation);
     start_periodic(host, beat, &send_heartbeats);
+    start_periodic(host, outcome_sweep_interval, &sweep_outcomes);
 }
 
 void leave_generation(host_state& host) {
--- a/source/lycheegap_load/caller.cpp
+++ b/source/lycheegap_load/caller.cpp
@@ -16,6 +16,7 @@
 using common::monotonic;
 
 constexpr auto lookup_timeout = milliseconds(1000);
+constexpr auto inquiry_timeout = milliseconds(2000);
 
 std::optional<schema::lookup_answer_t> ask(const load_plan& plan, const std::string& address,
                                            transport::connection_pool& connections) {
@@ -49,14 +50,16 @@
         for (const auto& it : answer->hosts) {
             cache.hosts.push_back(it->address);
         }
+        cache.ticket = answer->ticket;
         cache.expires_at_unix_ms = answer->expires_at;
         return;
     }
 }
 
-std::vector<std::string> kept_hosts(lookup_cache& cache) {
+known_hosts kept_hosts(lookup_cache& cache) {
     const std::lock_guard guard(cache.mutex);
-    return cache.expires_at_unix_ms > common::unix_milliseconds() ? cache.hosts : std::vector<std::string>();
+    const bool is_fresh = cache.expires_at_unix_ms > common::unix_milliseconds();
+    return is_fresh ? known_hosts{cache.hosts, cache.ticket} : known_hosts();
 }
 
 transport::http_call make_call(const load_plan& plan, const std::string& host,
@@ -85,34 +88,75 @@
     return {said == "not_run" ? outcome::not_run : outcome::unknown, reason, 0, {}};
 }
 
+/// Sends to one host; empty when the request did not leave.
+std::optional<request_end> send_to(const load_plan& plan, const std::string& host,
+                                   transport::connection_pool& connections, const std::string& request_id) {
+    const auto result = transport::call_http(connections, make_call(plan, host, request_id));
+    if (result.response) {
+        return end_of_answer(*result.response);
+    }
+    if (result.may_have_left) {
+        return request_end{outcome::unknown, common::last_reason().text, 0, {}};
+    }
+    return std::nullopt;
+}
+
+/// Asks the hosts in turn how the request ended; unchanged when nobody can tell.
+void inquire(const known_hosts& known, transport::connection_pool& connections, const std::string& request_id,
+             request_end& end) {
+    for (const auto& host : known.addresses) {
+        transport::http_call call;
+        call.address = host;
+        call.head.method = "GET";
+        call.head.path = "/v1/outcomes/" + request_id;
+        call.deadline = monotonic::now() + inquiry_timeout;
+        const auto result = transport::call_http(connections, call);
+        if (!result.response || result.response->status != 200) {
+            continue;
+        }
+        const auto told = schema::from_json<schema::outcome_report>(result.response->body, host);
+        if (told && told->state == "answered") {
+            end = {outcome::answered, fmt::format("{} by inquiry", told->status), 0, {}};
+            return;
+        }
+        if (told && told->state == "not_run") {
+            end = {outcome::not_run, "by inquiry", 0, {}};
+            return;
+        }
+    }
+}
+
 } // namespace
 
-std::vector<std::string> current_hosts(const load_plan& plan, lookup_cache& cache,
-                                       transport::connection_pool& connections) {
-    auto hosts = kept_hosts(cache);
-    if (hosts.empty()) {
+known_hosts current_hosts(const load_plan& plan, lookup_cache& cache,
+                          transport::connection_pool& connections) {
+    auto known = kept_hosts(cache);
+    if (known.addresses.empty()) {
         refresh(plan, cache, connections);
-        hosts = kept_hosts(cache);
+        known = kept_hosts(cache);
     }
-    return hosts;
+    return known;
 }
 
 request_end send_request(const load_plan& plan, lookup_cache& cache, transport::connection_pool& connections,
-                         std::string request_id) {
+                         std::uint64_t counter) {
     const auto began_at = monotonic::now();
-    request_end end{outcome::not_sent, "no host reachable", 0, request_id};
-    for (const auto& host : current_hosts(plan, cache, connections)) {
-        const auto result = transport::call_http(connections, make_call(plan, host, request_id));
-        if (result.response) {
-            end = end_of_answer(*result.response);
-            break;
-        }
-        if (result.may_have_left) {
-            end = {outcome::unknown, common::last_reason().text, 0, {}};
-            break;
+    request_end end{outcome::not_sent, "no host reachable", 0, {}};
+    const auto known = current_hosts(plan, cache, connections);
+    const auto& source = known.ticket.empty() ? fmt::format("load{}", plan.seed) : known.ticket;
+    const auto request_id = fmt::format("{}.{}", source, counter);
+    for (const auto& host : known.addresses) {
+        if (const auto sent = send_to(plan, host, connections, request_id)) {
+            end = *sent;
+            if (end.how != outcome::unknown) {
+                break;
+            }
         }
     }
-    end.request_id = std::move(request_id);
+    if (end.how == outcome::unknown && !known.ticket.empty()) {
+        inquire(known, connections, request_id, end);
+    }
+    end.request_id = request_id;
     end.latency_ms = common::seconds_between(began_at, monotonic::now()) * 1000;
     return end;
 }
--- a/source/lycheegap_load/caller.h
+++ b/source/lycheegap_load/caller.h
@@ -34,17 +34,27 @@
 struct lookup_cache {
     common::ranked_mutex mutex{common::lock_rank::leaf};
     std::vector<std::string> hosts;
+    /// Request ids are made of it.
+    std::string ticket;
     std::int64_t expires_at_unix_ms{0};
     std::size_t next_address{0};
     std::uint64_t lookups{0};
 };
 
+/// What a look-up answer tells a caller.
+struct known_hosts {
+    std::vector<std::string> addresses;
+    std::string ticket;
+};
+
 /// Hosts to use now, asking the system when the kept answer has expired; empty when nobody answers.
-std::vector<std::string> current_hosts(const load_plan& plan, lookup_cache& cache,
-                                       transport::connection_pool& connections);
+known_hosts current_hosts(const load_plan& plan, lookup_cache& cache,
+                          transport::connection_pool& connections);
 
-/// Sends one request as a caller does: to the first host that can be reached.
+/// Sends one request as a caller does: to the first host that can be reached, under an id made of the
+/// ticket and `counter`. While the outcome is unknown it is repeated under the same id at the next hosts, and
+/// then asked for.
 request_end send_request(const load_plan& plan, lookup_cache& cache, transport::connection_pool& connections,
-                         std::string request_id);
+                         std::uint64_t counter);
 
 } // namespace lycheegap::load
--- a/source/lycheegap_load/load_run.cpp
+++ b/source/lycheegap_load/load_run.cpp
@@ -49,9 +49,7 @@
     const auto arrivals = plan_arrivals(plan, common::monotonic::now());
     common::worker_pool pool(plan.workers);
     for (std::size_t n = 0; n < arrivals.size(); ++n) {
-        pool.submit_at(arrivals[n], [&, n] {
-            add_end(table, send_request(plan, cache, connections, fmt::format("load{}.{}", plan.seed, n)));
-        });
+        pool.submit_at(arrivals[n], [&, n] { add_end(table, send_request(plan, cache, connections, n)); });
     }
     {
         std::unique_lock guard(table.mutex);
--- a/source/stand_ins/endpoint_table.cpp
+++ b/source/stand_ins/endpoint_table.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "core/common/log.h"
+
 namespace lycheegap::stand_ins {
 
 namespace {
@@ -44,6 +46,8 @@
     const auto id = execution::find_header(request.head.headers, "x-request-id");
     endpoint.runs.push_back(
         {std::string(id), request.head.path, std::string(transport::as_text(request.body))});
+    // The log outlives the process: tests count runs by it after a kill.
+    common::log_info("ran", {common::field("request", id), common::field("path", request.head.path)});
     const auto until = monotonic::now() + milliseconds(endpoint.behaviour.service_ms);
     while (!endpoint.stopping && monotonic::now() < until) {
         endpoint.changed.wait_until(guard, until);
