Give the endpoint's stand-in cold starts, drain, wrong reports, silent connections, cancellation and costs

Cause: tests of steering and execution need endpoints that mislead. Each behaviour is a field of /control or a path; /record counts connections, probes, cancelled and expired runs, and how long after a drain's beginning the last run began.

--- a/source/core/transport/http_message.h
+++ b/source/core/transport/http_message.h
@@ -17,6 +17,8 @@
     std::span<const std::byte> body;
     /// IP number of the other side.
     std::string peer;
+    /// TCP port of the other side; with `peer` it names the connection.
+    int peer_port{0};
 };
 
 struct http_response {
--- a/source/core/transport/http_server.cpp
+++ b/source/core/transport/http_server.cpp
@@ -42,6 +42,11 @@
     return text.data();
 }
 
+int peer_port_of(const _u_request& request) {
+    const auto* address = reinterpret_cast<const sockaddr_in*>(request.client_address);
+    return address == nullptr || address->sin_family != AF_INET ? 0 : ntohs(address->sin_port);
+}
+
 std::string query_of(const _u_request& request) {
     const std::string_view url = request.http_url == nullptr ? "" : request.http_url;
     const auto mark = url.find('?');
@@ -61,6 +66,7 @@
     const auto* body = static_cast<const std::byte*>(request.binary_body);
     view.body = std::span(body, request.binary_body_length);
     view.peer = peer_of(request);
+    view.peer_port = peer_port_of(request);
     return view;
 }
 
--- /dev/null
+++ b/source/stand_ins/endpoint_control.cpp
@@ -0,0 +1,84 @@
+#include "endpoint_control.h"
+
+#include <mutex>
+
+#include <fmt/format.h>
+
+namespace lycheegap::stand_ins {
+
+namespace {
+
+using common::monotonic;
+using transport::number_or;
+using transport::query_parameter;
+
+bool is_set(std::string_view query, std::string_view name) {
+    return number_or(query_parameter(query, name), 0) != 0;
+}
+
+void take_number(std::string_view query, std::string_view name, int& target) {
+    const auto text = query_parameter(query, name);
+    if (text.starts_with('-')) {
+        target = -1;
+        return;
+    }
+    target = static_cast<int>(number_or(text, static_cast<std::uint64_t>(target)));
+}
+
+void take_switch(std::string_view query, std::string_view name, bool& target) {
+    target = number_or(query_parameter(query, name), target ? 1 : 0) != 0;
+}
+
+void silence_connections(endpoint_table& endpoint, silence kind) {
+    for (auto& [name, it] : endpoint.connections) {
+        it = kind;
+    }
+}
+
+void take_events(endpoint_table& endpoint, std::string_view query) {
+    if (is_set(query, "cold")) {
+        endpoint.cold_since = monotonic::now();
+    }
+    const auto silent = number_or(query_parameter(query, "silent"), 0);
+    if (silent != 0) {
+        silence_connections(endpoint, silent == 1 ? silence::before_run : silence::after_run);
+    }
+}
+
+} // namespace
+
+transport::http_response set_behaviour(endpoint_table& endpoint, std::string_view query) {
+    const std::lock_guard guard(endpoint.mutex);
+    auto& it = endpoint.behaviour;
+    const bool was_draining = it.draining;
+    take_number(query, "slots", it.slots);
+    take_number(query, "service_ms", it.service_ms);
+    take_number(query, "connection_ms", it.connection_ms);
+    take_number(query, "probe_ms", it.probe_ms);
+    take_number(query, "report_percent", it.report_percent);
+    take_number(query, "report_lag_ms", it.report_lag_ms);
+    take_number(query, "cold_ms", it.cold_ms);
+    take_number(query, "cold_factor", it.cold_factor);
+    take_switch(query, "shed", it.shed);
+    take_switch(query, "drain", it.draining);
+    if (it.draining && !was_draining) {
+        endpoint.draining_since = monotonic::now();
+    }
+    take_events(endpoint, query);
+    return {200, {}, "done\n"};
+}
+
+transport::http_response report_runs(endpoint_table& endpoint) {
+    const std::lock_guard guard(endpoint.mutex);
+    const auto& n = endpoint.counts;
+    auto text = fmt::format("runs={} shed={} keys_seen={} connections={} probes={} cancelled={} expired={} "
+                            "runs_in_drain={} last_run_in_drain_ms={}\n",
+                            endpoint.runs.size(), n.shed, n.keys_seen, n.connections, n.probes, n.cancelled,
+                            n.expired, n.runs_in_drain, n.last_run_in_drain_ms);
+    for (const auto& it : endpoint.runs) {
+        text += fmt::format("{} {}\n", it.request_id, it.path);
+    }
+    return {200, {}, std::move(text)};
+}
+
+} // namespace lycheegap::stand_ins
