--- a/source/core/transport/http_server.cpp
+++ b/source/core/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include <array>
+#include <cctype>
 #include <cstring>
 
 #include <arpa/inet.h>
@@ -42,6 +43,11 @@
     return text.data();
 }
 
+int peer_port_of(const _u_request& request) {
+    const auto* address = reinterpret_cast<const sockaddr_in*>(request.client_address);
+    return address == nullptr || address->sin_family != AF_INET ? 0 : ntohs(address->sin_port);
+}
+
 std::string query_of(const _u_request& request) {
     const std::string_view url = request.http_url == nullptr ? "" : request.http_url;
     const auto mark = url.find('?');
@@ -61,15 +67,39 @@
     const auto* body = static_cast<const std::byte*>(request.binary_body);
     view.body = std::span(body, request.binary_body_length);
     view.peer = peer_of(request);
+    view.peer_port = peer_port_of(request);
     return view;
 }
 
+/// Spelling number `n` of a header's name: the bits of `n` choose upper case.
+std::string spell(std::string_view name, std::size_t n) {
+    std::string spelled;
+    for (const char c : name) {
+        const auto lower = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        const bool is_letter = std::isalpha(static_cast<unsigned char>(c)) != 0;
+        const bool upper = is_letter && (n & 1U) != 0;
+        n = is_letter ? n >> 1U : n;
+        spelled += upper ? static_cast<char>(std::toupper(static_cast<unsigned char>(c))) : lower;
+    }
+    return spelled;
+}
+
+// ulfius keeps one value for each spelling of a name. Names are the same in any case, so the headers of one
+// name, such as several Set-Cookie, go out under different spellings.
+void put_headers(_u_map& out, const std::vector<execution::header>& headers) {
+    for (std::size_t k = 0; k < headers.size(); ++k) {
+        std::size_t earlier = 0;
+        for (std::size_t n = 0; n < k; ++n) {
+            earlier += execution::same_name(headers[n].name, headers[k].name) ? 1 : 0;
+        }
+        u_map_put(&out, spell(headers[k].name, earlier).c_str(), headers[k].value.c_str());
+    }
+}
+
 void fill_response(_u_response& out, const http_response& answer) {
     ulfius_set_binary_body_response(&out, static_cast<unsigned int>(answer.status), answer.body.data(),
                                     answer.body.size());
-    for (const auto& it : answer.headers) {
-        u_map_put(out.map_header, it.name.c_str(), it.value.c_str());
-    }
+    put_headers(*out.map_header, answer.headers);
 }
 
 // ulfius cuts a longer body to its limit, so one byte more than the limit is let in to tell.
