Queue requests fairly by team and class, bound retries, drain a host before it stops

Cause: a request was refused at once when no endpoint was free; a host that stopped cut its requests. Change: fair queues by class and team in front of the endpoints, on one condition variable; a team holds at most half of the request workers; retries out of a budget with full jitter and a ceiling; answers checked against the request's id; idle connections dropped after a timeout; several headers of one name; on SIGTERM a host is marked as leaving, serves until look-up answers have expired, passes its memory of outcomes on and tells every member. Default of request_workers is 128 in place of 32, since waiting requests hold workers; its test follows.

--- a/source/core/host/attempts.cpp
+++ b/source/core/host/attempts.cpp
@@ -1,12 +1,15 @@
 #include "attempts.h"
 
 #include <algorithm>
+#include <condition_variable>
+#include <mutex>
 
 #include "admission.h"
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
 #include "core/execution/attempt.h"
-#include "endpoint_use.h"
+#include "core/execution/retry.h"
+#include "endpoint_wait.h"
 #include "host_state.h"
 
 namespace lycheegap::host {
@@ -58,7 +61,7 @@
     auto outcome = transport::call_http(host.endpoint_connections, call);
     const auto result = classify(outcome);
     const double latency_ms = common::seconds_between(began_at, monotonic::now()) * 1000;
-    give_back_endpoint(host, it.match.rule->service, address, result, latency_ms);
+    release_endpoint(host, it, address, result, latency_ms);
     if (result != attempt_result::answered) {
         common::log_warning("attempt_failed", {field("request", it.request_id), field("endpoint", address),
                                                field("reason", common::last_reason().text)});
@@ -74,32 +77,79 @@
     return {std::move(answer), execution::outcome_state::answered};
 }
 
+const execution::retry_limits limits_of_retries;
+
+/// Takes a retry out of the budget and tells how long to pause first; empty when none is left.
+std::optional<common::milliseconds> take_retry(host_state& host, int retry) {
+    const std::lock_guard guard(host.queues.mutex);
+    if (!execution::spend_retry(host.queues.budget)) {
+        return std::nullopt;
+    }
+    return execution::retry_pause(limits_of_retries, retry, host.queues.random);
+}
+
+void earn_retry(host_state& host) {
+    const std::lock_guard guard(host.queues.mutex);
+    execution::earn_retry(host.queues.budget, limits_of_retries);
+}
+
+void pause_until(common::time_point until) {
+    common::ranked_mutex mutex{common::lock_rank::leaf};
+    std::condition_variable_any nobody_notifies;
+    std::unique_lock guard(mutex);
+    while (monotonic::now() < until) {
+        nobody_notifies.wait_until(guard, until);
+    }
+}
+
+/// Pauses before a retry; false when there is no budget or no time for one.
+bool pause_for_retry(host_state& host, const exchange& it, int retry) {
+    const auto pause = take_retry(host, retry);
+    const auto until = monotonic::now() + pause.value_or(common::milliseconds(0));
+    if (!pause || until >= it.deadline) {
+        common::count(host.metrics, "retries_denied");
+        return false;
+    }
+    common::count(host.metrics, "retries");
+    pause_until(until);
+    return true;
+}
+
+served refuse_unserved(host_state& host, const exchange& it, bool may_have_run) {
+    const auto* text = may_have_run ? "the endpoint's answer was lost" : "no endpoint took the request";
+    return refuse(host, it, refusal_reason::endpoint, may_have_run, text);
+}
+
 served run_attempts(host_state& host, const exchange& it) {
     execution::attempt_state state{it.match.rule->work, 0, it.match.source->attempt_limit, it.deadline,
                                    false};
     std::string tried;
+    earn_retry(host);
     while (true) {
-        const auto address = take_endpoint(host, it.match.rule->service, tried);
-        if (!address) {
-            return refuse(host, it, refusal_reason::endpoint, state.may_have_run, "no endpoint is free");
+        const auto turn = wait_for_endpoint(host, it, tried);
+        if (!turn.address) {
+            const auto* text = turn.queue_full ? "the queue is full" : "no endpoint became free in time";
+            return refuse(host, it, refusal_reason::queue, state.may_have_run, text);
         }
-        auto end = attempt_at(host, it, *address);
-        switch (execution::after_attempt(state, end.result, monotonic::now())) {
-        case next_action::pass_answer:
+        auto end = attempt_at(host, it, *turn.address);
+        const auto next = execution::after_attempt(state, end.result, monotonic::now());
+        if (next == next_action::pass_answer) {
             return pass_answer(std::move(*end.response));
-        case next_action::refuse_not_run:
-            return refuse(host, it, refusal_reason::endpoint, false, "no endpoint took the request");
-        case next_action::refuse_unknown:
-            return refuse(host, it, refusal_reason::endpoint, true, "the endpoint's answer was lost");
-        case next_action::try_again:
-            tried = *address;
         }
+        if (next != next_action::try_again || !pause_for_retry(host, it, state.attempts_made)) {
+            return refuse_unserved(host, it, state.may_have_run);
+        }
+        tried = *turn.address;
     }
 }
 
 } // namespace
 
 served run_exchange(host_state& host, const exchange& it) {
+    const busy_mark busy(host, it);
+    if (!busy.is_within()) {
+        return refuse(host, it, refusal_reason::queue, false, "the team holds its share of this host");
+    }
     if (auto refused = spend(host, it)) {
         return std::move(*refused);
     }
--- a/source/core/host/forward.cpp
+++ b/source/core/host/forward.cpp
@@ -6,6 +6,7 @@
 #include "admission.h"
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
+#include "header_codec.h"
 #include "host_state.h"
 #include "once.h"
 
@@ -23,35 +24,6 @@
 constexpr std::size_t hosts_asked = 3;
 constexpr int holders_tried = 2;
 
-std::vector<std::unique_ptr<schema::header_record_t>>
-make_headers(const std::vector<execution::header>& source) {
-    std::vector<std::unique_ptr<schema::header_record_t>> records;
-    for (const auto& it : source) {
-        auto record = std::make_unique<schema::header_record_t>();
-        record->name = it.name;
-        record->value = it.value;
-        records.push_back(std::move(record));
-    }
-    return records;
-}
-
-std::vector<execution::header>
-parse_headers(const std::vector<std::unique_ptr<schema::header_record_t>>& records) {
-    std::vector<execution::header> headers;
-    for (const auto& it : records) {
-        headers.push_back({it->name, it->value});
-    }
-    return headers;
-}
-
-std::vector<std::uint8_t> to_octets(std::string_view text) {
-    return {text.begin(), text.end()};
-}
-
-std::string_view to_text(const std::vector<std::uint8_t>& octets) {
-    return {reinterpret_cast<const char*>(octets.data()), octets.size()};
-}
-
 schema::bytes encode_forward(const exchange& it) {
     schema::forward_request_t request;
     request.request_id = it.request_id;
--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -6,6 +6,7 @@
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
 #include "forward.h"
+#include "leave.h"
 #include "operator_api.h"
 #include "peer_api.h"
 #include "serve_lookup.h"
@@ -36,6 +37,7 @@
     host.store.call_timeout = common::milliseconds(settings.store->call_timeout);
     host.store.connections = &host.store_connections;
     host.store.metrics = &host.metrics;
+    host.queues.random.seed(seed_of(settings));
     open_outcomes(host);
 }
 
@@ -63,11 +65,18 @@
     return host.peers.has_value();
 }
 
+/// Callers ask another host; this one's answers would outlive it.
+transport::http_response refuse_lookup() {
+    constexpr int status_unavailable = 503;
+    return transport::json_response(status_unavailable, R"({"reason":"leaving"})");
+}
+
 bool start_servers(host_state& host) {
     const auto& callers = *host.settings.callers;
     const auto lookup_options = listener_options(host, callers.lookup_port, callers.lookup_workers);
-    host.lookup_server = transport::start_http_server(
-        lookup_options, [&host](const http_request& request) { return serve_lookup(host, request); });
+    host.lookup_server = transport::start_http_server(lookup_options, [&host](const http_request& request) {
+        return host.leaving ? refuse_lookup() : serve_lookup(host, request);
+    });
     if (!host.lookup_server) {
         return false;
     }
@@ -128,6 +137,7 @@
 }
 
 void stop_host(host_state& host) {
+    drain_host(host);
     leave_generation(host);
     host.lookup_server->stop();
     host.request_server->stop();
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,6 +19,7 @@
 #include "core/transport/peer_link.h"
 #include "core/transport/store_client.h"
 #include "outcome_table.h"
+#include "queue_table.h"
 
 namespace lycheegap::host {
 
@@ -69,12 +71,15 @@
     settings::daemon_settings settings;
     /// This host with its actual addresses and incarnation.
     membership::member self;
+    /// This host is about to stop; its look-ups send callers elsewhere.
+    std::atomic<bool> leaving{false};
     common::metrics_table metrics;
     catalog_table catalog;
     membership_table membership;
     authority_table authority;
     allowance_table allowances;
     endpoint_table endpoints;
+    queue_table queues;
     outcome_table outcomes;
     transport::connection_pool endpoint_connections;
     transport::connection_pool store_connections;
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -3,6 +3,7 @@
 #include "core/allowance/home.h"
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
+#include "handover.h"
 #include "host_state.h"
 #include "inquiry.h"
 #include "spend.h"
@@ -77,6 +78,11 @@
         answer.body.Set(answer_outcome_question(host, *question));
         return encode_message(answer);
     }
+    if (const auto* handover = decoded->body.Asoutcome_handover()) {
+        schema::peer_message_t answer;
+        answer.body.Set(take_handover(host, *handover));
+        return encode_message(answer);
+    }
     return refuse(common::step::decode, "not a request");
 }
 
--- a/source/core/transport/http_client.cpp
+++ b/source/core/transport/http_client.cpp
@@ -4,6 +4,9 @@
 #include <mutex>
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "core/common/last_reason.h"
 
@@ -103,6 +106,25 @@
     }
 }
 
+void drop_idle(connection_pool& pool, const std::string& address) {
+    std::vector<curl_handle> dropped;
+    const std::lock_guard guard(pool.mutex);
+    pool.idle[address].swap(dropped);
+}
+
+// A connection whose packets get lost ends after this time without an acknowledgement; a slow endpoint's
+// system still acknowledges.
+int on_socket(void* /*unused*/, curl_socket_t fd, curlsocktype /*unused*/) {
+    const unsigned int silence_ms = 2000;
+    const int on = 1;
+    const int idle_s = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof idle_s);
+    return CURL_SOCKOPT_OK;
+}
+
 curl_list header_list(const http_call& call) {
     curl_slist* list = nullptr;
     for (const auto& it : call.head.headers) {
@@ -151,6 +173,7 @@
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_MAXCONNECTS, 1L);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &on_socket);
 }
 
 void set_callbacks(CURL* handle, call_state& state) {
@@ -205,6 +228,10 @@
     count_opened(pool, handle.get());
     http_result result;
     result.may_have_left = state.sending;
+    if (ec == CURLE_OPERATION_TIMEDOUT && state.sending) {
+        // Whatever fell silent between the two ends may hold the other connections as well.
+        drop_idle(pool, call.address);
+    }
     if (ec != CURLE_OK) {
         common::fail(state.sending ? common::step::receive : common::step::connect, call.address,
                      curl_easy_strerror(ec));
--- a/source/unit_tests/settings/ini_settings_test.cpp
+++ b/source/unit_tests/settings/ini_settings_test.cpp
@@ -21,7 +21,7 @@
     const auto parsed = parse_settings(good, "f.ini");
     REQUIRE(parsed);
     CHECK(parsed->host->name == "h");
-    CHECK(parsed->callers->request_workers == 32);
+    CHECK(parsed->callers->request_workers == 128);
     CHECK(parsed->process->log_level == "info");
 }
 
--- a/source/unit_tests/transport/whole_answer_test.cpp
+++ b/source/unit_tests/transport/whole_answer_test.cpp
@@ -192,6 +192,10 @@
 TEST_CASE("late and stray answers reach nobody; a client that keeps its connection takes them") {
     const faulty_endpoint endpoint;
     connection_pool pool;
+    // A timeout also ends the idle connections to that endpoint.
+    REQUIRE(get(pool, endpoint.address(), "/before").response);
+    pool.idle[endpoint.address()].push_back(curl_handle(curl_easy_init()));
+    REQUIRE(idle_connections(pool, endpoint.address()) == 2);
     CHECK_FALSE(get(pool, endpoint.address(), "/slow", short_wait).response);
     CHECK(idle_connections(pool, endpoint.address()) == 0);
     CHECK(get(pool, endpoint.address(), "/stray").response->body == "/stray");
