--- a/source/core/transport/http_client.cpp
+++ b/source/core/transport/http_client.cpp
@@ -168,6 +168,15 @@
     return call.head.method != "HEAD" && status != status_no_content && status != status_not_modified;
 }
 
+constexpr std::string_view id_header = "x-request-id";
+
+/// An answer that names a request names this one.
+bool is_own_answer(const http_call& call, const http_response& answer) {
+    const auto asked = execution::find_header(call.head.headers, id_header);
+    const auto answered = execution::find_header(answer.headers, id_header);
+    return asked.empty() || answered.empty() || asked == answered;
+}
+
 void count_opened(connection_pool& pool, CURL* handle) {
     long opened = 0;
     curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &opened);
@@ -207,6 +216,10 @@
         common::fail(common::step::receive, call.address, "the answer's length is not known");
         return result;
     }
+    if (!is_own_answer(call, state.response)) {
+        common::fail(common::step::receive, call.address, "the answer belongs to another request");
+        return result;
+    }
     keep_handle(pool, call.address, std::move(handle));
     state.response.status = static_cast<int>(status);
     result.response = std::move(state.response);
