--- a/source/core/execution/caller_key.cpp
+++ b/source/core/execution/caller_key.cpp
@@ -42,8 +42,11 @@
 }
 
 /// Removes the parts named `name` from text of the form a=1<separator>b=2 and keeps the first one's value.
+/// Text without such a part stays as it is.
 std::string without_part(std::string_view text, char separator, std::string_view name,
                          std::optional<std::string>& value) {
+    const std::string whole(text);
+    bool found = false;
     std::string kept;
     while (!text.empty()) {
         const auto end = std::min(text.find(separator), text.size());
@@ -55,6 +58,7 @@
             if (!value) {
                 value = percent_decoded(trimmed(part.substr(std::min(equals + 1, part.size()))));
             }
+            found = true;
             continue;
         }
         if (!kept.empty()) {
@@ -62,7 +66,7 @@
         }
         kept += part;
     }
-    return kept;
+    return found ? kept : whole;
 }
 
 std::optional<std::string> take_from_headers(std::vector<header>& headers) {
@@ -78,12 +82,22 @@
 
 std::optional<std::string> take_from_cookies(std::vector<header>& headers) {
     std::optional<std::string> value;
+    const auto is_emptied = [&value](header& it) {
+        if (!same_name(it.name, "cookie")) {
+            return false;
+        }
+        const auto kept = without_part(it.value, ';', key_cookie, value);
+        const bool emptied = kept.empty() && !it.value.empty();
+        it.value = kept;
+        return emptied;
+    };
+    std::vector<header> left;
     for (auto& it : headers) {
-        if (same_name(it.name, "cookie")) {
-            it.value = without_part(it.value, ';', key_cookie, value);
+        if (!is_emptied(it)) {
+            left.push_back(std::move(it));
         }
     }
-    std::erase_if(headers, [](const header& it) { return same_name(it.name, "cookie") && it.value.empty(); });
+    headers = std::move(left);
     return value;
 }
 
--- /dev/null
+++ b/source/fuzz_tests/catalog_test.cpp
@@ -0,0 +1,93 @@
+#include <cmath>
+
+#include <doctest/doctest.h>
+
+#include "core/schema/codec.h"
+#include "core/transport/http_message.h"
+#include "core/transport/record_codec.h"
+#include "fuzz_input.h"
+
+namespace lycheegap::fuzz_tests {
+
+namespace {
+
+/// What every host may rely on once a configuration counts as valid.
+void check_limits(const catalog::configuration& source) {
+    for (const auto& [name, it] : source.teams) {
+        CHECK_FALSE(name.empty());
+        CHECK(std::isfinite(it.rate));
+        CHECK(std::isfinite(it.burst));
+        CHECK(it.rate >= 0);
+        CHECK(it.burst >= 1);
+        CHECK(source.templates.contains(it.template_name));
+    }
+    for (const auto& [name, it] : source.templates) {
+        CHECK_FALSE(name.empty());
+        CHECK(it.request_timeout_ms > 0);
+        CHECK(it.attempt_limit >= 1);
+    }
+}
+
+void check_record(const std::optional<schema::catalog_record_t>& record) {
+    const auto parsed = record ? transport::parse_configuration(*record) : std::nullopt;
+    if (!parsed) {
+        CHECK_FALSE(common::last_reason().text.empty());
+        return;
+    }
+    check_limits(*parsed);
+}
+
+catalog::configuration sample_configuration() {
+    catalog::configuration sample;
+    sample.revision = 7;
+    sample.services["forecast"] = {"forecast", {{"worker-1", "127.0.0.1:80", "vestkyst", "vestkyst-1", 4}}};
+    sample.templates["school"] = {
+        "school", {{"GET", "/forecast", "forecast", catalog::work_class::interactive, false}},
+        10'000,   2000,
+        3,        20};
+    sample.teams["kite"] = {"kite", "school", {std::string(64, 'a')}, 50, 10, {"forecast"}};
+    catalog::index_keys(sample);
+    return sample;
+}
+
+} // namespace
+
+TEST_CASE("fuzz: operators' edits") {
+    const auto sample = sample_configuration();
+    REQUIRE(catalog::is_valid(sample));
+    run_fuzz("edits", [&](std::string_view input) {
+        const auto request = schema::from_json<schema::edit_request>(input, "operator");
+        const auto change = request ? transport::parse_edit(*request) : std::nullopt;
+        const auto next = change ? catalog::apply_edit(sample, *change) : std::nullopt;
+        if (!next) {
+            CHECK_FALSE(common::last_reason().text.empty());
+            return;
+        }
+        check_limits(*next);
+        // What was accepted must come back the same from the store on every host.
+        const auto encoded = schema::encode<schema::catalog_record>(transport::make_record(*next));
+        const auto decoded = schema::decode<schema::catalog_record>(encoded, "store");
+        REQUIRE(decoded);
+        CHECK(transport::parse_configuration(*decoded));
+    });
+}
+
+TEST_CASE("fuzz: catalog values of the store") {
+    std::vector<std::string> encoded_corpus;
+    for (const auto& it : load_corpus("catalogs")) {
+        const auto encoded = schema::parse_json("lycheegap.schema.catalog_record", it, "corpus");
+        REQUIRE(encoded);
+        encoded_corpus.emplace_back(transport::as_text(*encoded));
+    }
+    run_fuzz(encoded_corpus, "catalogs", [](std::string_view input) {
+        check_record(schema::decode<schema::catalog_record>(transport::as_bytes(input), "store"));
+    });
+}
+
+TEST_CASE("fuzz: catalog records with any values") {
+    run_fuzz("catalogs", [](std::string_view input) {
+        check_record(schema::from_json<schema::catalog_record>(input, "store"));
+    });
+}
+
+} // namespace lycheegap::fuzz_tests
--- /dev/null
+++ b/source/fuzz_tests/fuzz_input.cpp
@@ -0,0 +1,169 @@
+#include "fuzz_input.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+#include "core/transport/http_message.h"
+
+namespace lycheegap::fuzz_tests {
+
+namespace {
+
+constexpr std::uint64_t default_runs = 20'000;
+constexpr std::uint64_t default_seed = 1;
+constexpr std::size_t longest_input_bytes = 4096;
+
+constexpr std::array<std::string_view, 30> tokens = {"null",
+                                                     "nan",
+                                                     "inf",
+                                                     "-1",
+                                                     "0",
+                                                     "1e309",
+                                                     "-0.0",
+                                                     "18446744073709551616",
+                                                     "-9223372036854775809",
+                                                     "[]",
+                                                     "{}",
+                                                     "[[",
+                                                     "\"",
+                                                     "\\",
+                                                     "\\u0000",
+                                                     "\xff",
+                                                     "\xc3\x28",
+                                                     "%",
+                                                     "%00",
+                                                     "%5F",
+                                                     "%5f",
+                                                     "&",
+                                                     "=",
+                                                     ";",
+                                                     "team_key=",
+                                                     "team%5fkey=",
+                                                     "\r\n",
+                                                     ":",
+                                                     "65536",
+                                                     "\n["};
+
+std::uint64_t number_from(const char* variable, std::uint64_t otherwise) {
+    const auto* text = std::getenv(variable);
+    return text == nullptr ? otherwise : transport::number_or(text, otherwise);
+}
+
+std::size_t below(std::size_t limit, random_engine& random) {
+    return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+}
+
+/// A part of the text that starts inside it; may be empty.
+std::string_view any_part(std::string_view text, random_engine& random) {
+    const auto first = below(text.size() + 1, random);
+    return text.substr(first, below(text.size() - first + 1, random));
+}
+
+void insert_part(std::string& text, std::string_view part, random_engine& random) {
+    const std::string copy(part);
+    text.insert(below(text.size() + 1, random), copy);
+}
+
+void change_byte(std::string& text, random_engine& random) {
+    if (!text.empty()) {
+        text[below(text.size(), random)] = static_cast<char>(below(256, random));
+    }
+}
+
+void flip_bit(std::string& text, random_engine& random) {
+    if (!text.empty()) {
+        auto& byte = text[below(text.size(), random)];
+        byte = static_cast<char>(static_cast<unsigned char>(byte) ^ (1U << below(8, random)));
+    }
+}
+
+void erase_part(std::string& text, random_engine& random) {
+    const auto first = below(text.size() + 1, random);
+    text.erase(first, below(std::min<std::size_t>(text.size() - first, 16) + 1, random));
+}
+
+void mutate_once(std::string& text, std::span<const std::string> corpus, random_engine& random) {
+    switch (below(6, random)) {
+    case 0:
+        return change_byte(text, random);
+    case 1:
+        return flip_bit(text, random);
+    case 2:
+        return erase_part(text, random);
+    case 3:
+        return insert_part(text, any_part(text, random), random);
+    case 4:
+        return insert_part(text, any_part(corpus[below(corpus.size(), random)], random), random);
+    default:
+        return insert_part(text, tokens.at(below(tokens.size(), random)), random);
+    }
+}
+
+std::string hexadecimal(std::string_view input) {
+    std::string text;
+    for (const char it : input) {
+        constexpr std::string_view digits = "0123456789abcdef";
+        text += digits[static_cast<unsigned char>(it) >> 4U];
+        text += digits[static_cast<unsigned char>(it) & 15U];
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<std::string> load_corpus(std::string_view name) {
+    std::vector<std::filesystem::path> files;
+    for (const auto& it :
+         std::filesystem::directory_iterator(std::string(LYCHEEGAP_CORPUS_DIR "/") += name)) {
+        files.push_back(it.path());
+    }
+    std::sort(files.begin(), files.end());
+    std::vector<std::string> inputs;
+    for (const auto& it : files) {
+        std::ostringstream text;
+        text << std::ifstream(it, std::ios::binary).rdbuf();
+        inputs.push_back(text.str());
+    }
+    return inputs;
+}
+
+std::string mutate(std::span<const std::string> corpus, random_engine& random) {
+    auto text = corpus[below(corpus.size(), random)];
+    const auto changes = 1 + below(4, random);
+    for (std::size_t n = 0; n < changes; ++n) {
+        mutate_once(text, corpus, random);
+    }
+    text.resize(std::min(text.size(), longest_input_bytes));
+    return text;
+}
+
+void run_fuzz(std::string_view name, const fuzz_target& target) {
+    const auto corpus = load_corpus(name);
+    run_fuzz(corpus, name, target);
+}
+
+void run_fuzz(std::span<const std::string> corpus, std::string_view name, const fuzz_target& target) {
+    REQUIRE_FALSE(corpus.empty());
+    const auto seed = number_from("LYCHEEGAP_FUZZ_SEED", default_seed);
+    const auto runs = number_from("LYCHEEGAP_FUZZ_RUNS", default_runs);
+    const bool trace = std::getenv("LYCHEEGAP_FUZZ_TRACE") != nullptr;
+    std::cout << "fuzz target=" << name << " seed=" << seed << " runs=" << runs << '\n';
+    random_engine random(seed);
+    for (std::uint64_t n = 0; n < corpus.size() + runs; ++n) {
+        const auto input = n < corpus.size() ? corpus[n] : mutate(corpus, random);
+        INFO("seed ", seed, ", input ", n, ", in hexadecimal ", hexadecimal(input));
+        if (trace) {
+            std::cerr << n << ' ' << hexadecimal(input) << std::endl;
+        }
+        target(input);
+    }
+}
+
+} // namespace lycheegap::fuzz_tests
--- /dev/null
+++ b/source/fuzz_tests/request_head_test.cpp
@@ -0,0 +1,116 @@
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "core/common/last_reason.h"
+#include "core/execution/caller_key.h"
+#include "core/transport/http_message.h"
+#include "core/transport/listen_socket.h"
+#include "fuzz_input.h"
+
+namespace lycheegap::fuzz_tests {
+
+namespace {
+
+/// "METHOD PATH?QUERY" and one header a line, as in HTTP/1.1.
+execution::request_head parse_head(std::string_view input) {
+    execution::request_head head;
+    auto line = input.substr(0, input.find('\n'));
+    const auto space = std::min(line.find(' '), line.size());
+    head.method = line.substr(0, space);
+    line.remove_prefix(std::min(space + 1, line.size()));
+    const auto mark = line.find('?');
+    head.path = line.substr(0, mark);
+    head.query = mark == std::string_view::npos ? "" : line.substr(mark + 1);
+    while (input.find('\n') != std::string_view::npos) {
+        input.remove_prefix(input.find('\n') + 1);
+        line = input.substr(0, input.find('\n'));
+        const auto colon = line.find(':');
+        if (colon != std::string_view::npos) {
+            head.headers.push_back({std::string(line.substr(0, colon)), std::string(line.substr(colon + 1))});
+        }
+    }
+    return head;
+}
+
+int digit_of(char it) {
+    const auto lower = it | 0x20;
+    return it >= '0' && it <= '9' ? it - '0' : lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string percent_decoded(std::string_view text) {
+    std::string out;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const bool coded =
+            text[n] == '%' && n + 2 < text.size() && digit_of(text[n + 1]) >= 0 && digit_of(text[n + 2]) >= 0;
+        out += coded ? static_cast<char>(digit_of(text[n + 1]) * 16 + digit_of(text[n + 2])) : text[n];
+        n += coded ? 2 : 0;
+    }
+    return out;
+}
+
+/// Whether some part of a list "a=1&b=2" has the name; the plain way, without regard to speed.
+bool has_name(std::string_view list, char separator, std::string_view name) {
+    while (true) {
+        const auto end = list.find(separator);
+        auto part = list.substr(0, end);
+        part.remove_prefix(std::min(part.find_first_not_of(" \t"), part.size()));
+        auto found = percent_decoded(part.substr(0, part.find('=')));
+        found.erase(found.find_last_not_of(" \t") + 1);
+        if (found == name) {
+            return true;
+        }
+        if (end == std::string_view::npos) {
+            return false;
+        }
+        list.remove_prefix(end + 1);
+    }
+}
+
+} // namespace
+
+TEST_CASE("fuzz: no key is left in a request's head") {
+    run_fuzz("heads", [](std::string_view input) {
+        auto head = parse_head(input);
+        const auto before = head;
+        const auto key = execution::take_key(head);
+        for (const auto& it : head.headers) {
+            CHECK_FALSE(execution::same_name(it.name, execution::key_header));
+            const bool is_cookie = execution::same_name(it.name, "cookie");
+            CHECK_FALSE((is_cookie && has_name(it.value, ';', execution::key_cookie)));
+        }
+        CHECK_FALSE(has_name(head.query, '&', execution::key_parameter));
+        if (!key) {
+            CHECK(head.query == before.query);
+            CHECK(head.headers.size() == before.headers.size());
+        }
+        CHECK(head.path == before.path);
+    });
+}
+
+TEST_CASE("fuzz: look-up queries") {
+    run_fuzz("lookups", [](std::string_view input) {
+        const auto region = transport::query_parameter(input, "region");
+        CHECK(region.find('&') == std::string_view::npos);
+        CHECK((region.empty() || input.find(region) != std::string_view::npos));
+        transport::number_or(region, 0);
+    });
+}
+
+TEST_CASE("fuzz: addresses") {
+    run_fuzz("addresses", [](std::string_view input) {
+        const auto parsed = transport::split_address(input);
+        if (!parsed) {
+            CHECK_FALSE(common::last_reason().text.empty());
+            return;
+        }
+        CHECK(parsed->port >= 0);
+        CHECK(parsed->port <= 65'535);
+        const auto again = transport::split_address(transport::join_address(parsed->ip, parsed->port));
+        REQUIRE(again);
+        CHECK(again->ip == parsed->ip);
+        CHECK(again->port == parsed->port);
+    });
+}
+
+} // namespace lycheegap::fuzz_tests
--- a/source/unit_tests/execution/execution_test.cpp
+++ b/source/unit_tests/execution/execution_test.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+TEST_CASE("a head without a key stays as it is") {
+    for (const std::string query : {"&", "a=1&", "&&a", "a&&b", ""}) {
+        request_head head{"GET", "/", query, {{"Cookie", ""}, {"cookie", "a=1; "}}};
+        CHECK_FALSE(take_key(head));
+        CHECK(head.query == query);
+        REQUIRE(head.headers.size() == 2);
+        CHECK(head.headers[1].value == "a=1; ");
+    }
+}
+
 TEST_CASE("the key is removed wherever it stands") {
     request_head head{"GET",
                       "/",
