--- a/source/fuzz_tests/catalog_test.cpp
+++ b/source/fuzz_tests/catalog_test.cpp
@@ -11,20 +11,22 @@
 
 namespace {
 
+bool has_sound_limits(const catalog::configuration& source, const catalog::team& it) {
+    return !it.name.empty() && std::isfinite(it.rate) && std::isfinite(it.burst) && it.rate >= 0 &&
+           it.burst >= 1 && source.templates.contains(it.template_name);
+}
+
+bool has_sound_limits(const catalog::team_template& it) {
+    return !it.name.empty() && it.request_timeout_ms > 0 && it.attempt_limit >= 1;
+}
+
 /// What every host may rely on once a configuration counts as valid.
 void check_limits(const catalog::configuration& source) {
     for (const auto& [name, it] : source.teams) {
-        CHECK_FALSE(name.empty());
-        CHECK(std::isfinite(it.rate));
-        CHECK(std::isfinite(it.burst));
-        CHECK(it.rate >= 0);
-        CHECK(it.burst >= 1);
-        CHECK(source.templates.contains(it.template_name));
+        CHECK(has_sound_limits(source, it));
     }
     for (const auto& [name, it] : source.templates) {
-        CHECK_FALSE(name.empty());
-        CHECK(it.request_timeout_ms > 0);
-        CHECK(it.attempt_limit >= 1);
+        CHECK(has_sound_limits(it));
     }
 }
 
