--- /dev/null
+++ b/source/benchmarks/capacity_slopes.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/source/benchmarks/decision_bench.cpp
@@ -0,0 +1,194 @@
+#include "decision_bench.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "core/allowance/home.h"
+#include "core/allowance/token_bucket.h"
+#include "core/common/digest.h"
+#include "core/schema/codec.h"
+#include "core/schema/generated/peer_generated.h"
+#include "core/steering/endpoint_choice.h"
+#include "core/steering/lookup.h"
+#include "core/transport/record_codec.h"
+
+namespace lycheegap::benchmarks {
+
+namespace {
+
+constexpr int rounds = 7;
+constexpr double round_s = 0.01;
+constexpr std::size_t hosts_per_answer = 4;
+
+/// Keeps the compiler from dropping a result.
+template <typename Value>
+void keep(const Value& value) {
+    asm volatile("" : : "g"(&value) : "memory");
+}
+
+double lookup_us(int hosts) {
+    const auto members = make_generation(hosts, 9);
+    std::uint64_t seed = 0;
+    return cost_us([&] {
+        const steering::caller_place place{"region-3", "region-3-1"};
+        keep(steering::order_hosts(members, place, ++seed, hosts_per_answer));
+    });
+}
+
+double home_us(int hosts) {
+    const auto members = make_generation(hosts, 9);
+    return cost_us([&] { keep(allowance::home_of("team-17", members)); });
+}
+
+double route_us(int teams) {
+    const auto configuration = make_configuration(teams, 16);
+    const auto digest = common::key_digest("key-of-team-1");
+    return cost_us([&] {
+        const auto* team = catalog::find_team(configuration, digest);
+        keep(catalog::match_route(configuration, *team, "GET", "/forecast/klitmoller"));
+    });
+}
+
+double bucket_us() {
+    auto now = common::time_point(common::milliseconds(1));
+    auto bucket = allowance::make_empty_bucket(1e6, 100, now);
+    return cost_us([&] {
+        now += common::milliseconds(1);
+        keep(allowance::take(bucket, 1, now));
+    });
+}
+
+double choice_us(int endpoints) {
+    std::vector<steering::endpoint_state> states(static_cast<std::size_t>(endpoints));
+    for (std::size_t n = 0; n < states.size(); ++n) {
+        states[n].address = fmt::format("10.0.0.{}:80", n);
+        states[n].region = fmt::format("region-{}", n % 3 + 1);
+        states[n].slots = 6;
+    }
+    steering::random_engine random(1);
+    const auto now = common::time_point(common::milliseconds(1));
+    return cost_us([&] { keep(steering::choose_endpoint(states, "region-1", "", now, random)); });
+}
+
+double peer_message_us() {
+    schema::heartbeat_t beat;
+    beat.host = "host-17";
+    schema::peer_message_t message;
+    message.body.Set(beat);
+    return cost_us([&] {
+        const auto encoded = schema::encode<schema::peer_message>(message);
+        keep(schema::decode<schema::peer_message>(encoded, "peer"));
+    });
+}
+
+double catalog_decode_us(int teams) {
+    const auto configuration = make_configuration(teams, 16);
+    const auto encoded = schema::encode<schema::catalog_record>(transport::make_record(configuration));
+    return cost_us([&] {
+        const auto record = schema::decode<schema::catalog_record>(encoded, "store");
+        keep(transport::parse_configuration(*record));
+    });
+}
+
+} // namespace
+
+membership::generation make_generation(int hosts, int regions) {
+    membership::generation made;
+    made.number = 1;
+    for (int n = 0; n < hosts; ++n) {
+        membership::member it;
+        it.name = fmt::format("host-{:04}", n);
+        it.incarnation = static_cast<std::uint64_t>(n) + 1;
+        it.region = fmt::format("region-{}", n % regions + 1);
+        it.failure_domain = fmt::format("{}-{}", it.region, n / regions % 2 + 1);
+        it.peer_address = fmt::format("10.0.{}.{}:7003", n / 250, n % 250);
+        it.lookup_address = fmt::format("10.0.{}.{}:7001", n / 250, n % 250);
+        it.request_address = fmt::format("10.0.{}.{}:7002", n / 250, n % 250);
+        it.operator_address = fmt::format("10.0.{}.{}:7004", n / 250, n % 250);
+        made.members.push_back(it);
+    }
+    return made;
+}
+
+catalog::configuration make_configuration(int teams, int endpoints) {
+    catalog::configuration made;
+    made.revision = 1;
+    auto& service = made.services["forecast"];
+    service.name = "forecast";
+    for (int n = 0; n < endpoints; ++n) {
+        const auto region = fmt::format("region-{}", n % 9 + 1);
+        service.endpoints.push_back({fmt::format("worker-{}", n),
+                                     fmt::format("10.1.{}.{}:80", n / 250, n % 250), region, region + "-1",
+                                     6});
+    }
+    made.templates["school"] = {"school",
+                                {{"GET", "/forecast", "forecast", catalog::work_class::interactive, false},
+                                 {"POST", "/bookings", "forecast", catalog::work_class::once, false},
+                                 {"GET", "/archive", "forecast", catalog::work_class::deferrable, false}},
+                                10'000,
+                                2000,
+                                3,
+                                20};
+    for (int n = 0; n < teams; ++n) {
+        const auto name = fmt::format("team-{}", n);
+        made.teams[name] = {name, "school", {common::key_digest("key-of-" + name)}, 50, 10, {"forecast"}};
+    }
+    catalog::index_keys(made);
+    return made;
+}
+
+double cost_us(const std::function<void()>& call) {
+    double least_s = 1e9;
+    for (int n = 0; n < rounds; ++n) {
+        int calls = 0;
+        const double began_s = thread_cpu_s();
+        double used_s = 0;
+        while (used_s < round_s) {
+            for (int k = 0; k < 8; ++k) {
+                call();
+            }
+            calls += 8;
+            used_s = thread_cpu_s() - began_s;
+        }
+        least_s = std::min(least_s, used_s / calls);
+    }
+    return least_s * 1e6;
+}
+
+std::vector<figure> run_decision_bench() {
+    const double digest = cost_us([] { keep(common::key_digest("a-key-of-usual-length-0123456789")); });
+    const double lookup_24 = lookup_us(24);
+    const double lookup_870 = lookup_us(870);
+    const double decode_100 = catalog_decode_us(100);
+    const double decode_800 = catalog_decode_us(800);
+    const double route_8 = route_us(8);
+    const double route_800 = route_us(800);
+    const std::string group = "decisions";
+    std::vector<figure> figures;
+    const auto add = [&](std::string name, double value, std::string unit) -> figure& {
+        return figures.emplace_back(figure{group, std::move(name), value, std::move(unit)});
+    };
+    add("key digest", digest, "us");
+    add("bucket take", bucket_us(), "us");
+    add("endpoint choice of 16", choice_us(16), "us");
+    add("endpoint choice of 220", choice_us(220), "us");
+    add("route match, 8 teams", route_8, "us");
+    add("route match, 800 teams", route_800, "us");
+    add("peer message encode and decode", peer_message_us(), "us");
+    add("home of a team, 24 hosts", home_us(24), "us");
+    add("home of a team, 870 hosts", home_us(870), "us");
+    add("look-up order, 24 hosts", lookup_24, "us");
+    add("look-up order, 870 hosts", lookup_870, "us");
+    add("catalog decode, 100 teams", decode_100, "us");
+    add("catalog decode, 800 teams", decode_800, "us");
+    // Growth bounds: 870/24 hosts and 800/100 teams may cost in proportion, with half as much again for
+    // caches.
+    add("look-up order, 870 to 24 hosts", lookup_870 / lookup_24, "ratio").most = 870.0 / 24 * 1.5;
+    add("catalog decode, 800 to 100 teams", decode_800 / decode_100, "ratio").most = 8 * 1.5;
+    // A request must not cost more the more teams there are: a look-up in a map, no walk over teams.
+    add("route match, 800 to 8 teams", route_800 / route_8, "ratio").most = 4;
+    return figures;
+}
+
+} // namespace lycheegap::benchmarks
