Put members and configuration under one version; wire authority, acceptance and key withdrawal

Cause: catalog and generation were two values of the store with no order between them, heartbeat answers extended nothing, and an edit was never accepted. Ruled out: two values with a floor in the generation: a slow writer of a generation can overtake an edit that is accepted under the old members. Change: one control record {version, generation, catalog}. A version is accepted once all who may count as members confirmed it, or an authority and the clocks' drift after at least half of every generation from the floor on did. Heartbeats carry version, accepted version, the store's word with its age, a hash of withdrawn keys and silent hosts. Two hosts of each failure domain watch the store. Withdrawn keys spread at once and are stored when the store returns. Hosts silent to most members are taken out.

--- a/source/core/catalog/catalog.cpp
+++ b/source/core/catalog/catalog.cpp
@@ -102,7 +102,11 @@
 }
 
 bool has_own_keys(const configuration& source, const team& it, std::string_view record) {
+    const auto& withdrawn = source.withdrawn_digests;
     for (const auto& digest : it.key_digests) {
+        if (std::find(withdrawn.begin(), withdrawn.end(), digest) != withdrawn.end()) {
+            return reject(record, "a key was withdrawn; issue a new one");
+        }
         const auto owner = source.team_by_digest.find(digest);
         if (owner != source.team_by_digest.end() && owner->second != it.name) {
             return reject(record, fmt::format("a key belongs to team '{}' already", owner->second));
--- a/source/core/catalog/catalog.h
+++ b/source/core/catalog/catalog.h
@@ -38,6 +38,8 @@
     int queue_timeout_ms{0};
     int attempt_limit{1};
     int loan_percent{0};
+    /// Revision of the last edit of this record.
+    std::uint64_t changed{0};
 };
 
 /// One team's parameters. Rate is in requests a second over all hosts together, burst in requests.
@@ -48,6 +50,8 @@
     double rate{0};
     double burst{0};
     std::vector<std::string> services;
+    /// Revision of the last edit of this record.
+    std::uint64_t changed{0};
 };
 
 /// One worker of a service.
@@ -63,6 +67,17 @@
 struct service {
     std::string name;
     std::vector<endpoint> endpoints;
+    /// Revision of the last edit of this record.
+    std::uint64_t changed{0};
+};
+
+enum class record_kind : std::uint8_t { team_template, team, service };
+
+/// A record that was withdrawn at `revision`.
+struct tombstone {
+    record_kind kind{record_kind::team};
+    std::string name;
+    std::uint64_t revision{0};
 };
 
 /// The operators' whole configuration at one revision.
@@ -71,6 +86,10 @@
     std::map<std::string, team_template, std::less<>> templates;
     std::map<std::string, team, std::less<>> teams;
     std::map<std::string, service, std::less<>> services;
+    /// Digests of the keys withdrawn last, oldest first; they cannot be issued again.
+    std::vector<std::string> withdrawn_digests;
+    /// Records withdrawn last, oldest first.
+    std::vector<tombstone> tombstones;
     /// Name of the team that each key digest belongs to; derived from `teams`.
     std::map<std::string, std::string, std::less<>> team_by_digest;
 };
--- a/source/core/catalog/edit.cpp
+++ b/source/core/catalog/edit.cpp
@@ -13,36 +13,82 @@
 using common::fail;
 using common::step;
 
+constexpr std::size_t withdrawn_limit = 2000;
+constexpr std::size_t tombstone_limit = 200;
+
 bool unknown(std::string_view kind, std::string_view name) {
     fail(step::validate, fmt::format("{} {}", kind, name), "does not exist");
     return false;
 }
 
+std::string_view kind_name(record_kind kind) {
+    switch (kind) {
+    case record_kind::team_template:
+        return "template";
+    case record_kind::service:
+        return "service";
+    case record_kind::team:
+        break;
+    }
+    return "team";
+}
+
+template <typename Value>
+void keep_last(std::vector<Value>& values, std::size_t limit) {
+    if (values.size() > limit) {
+        values.erase(values.begin(), values.end() - static_cast<std::ptrdiff_t>(limit));
+    }
+}
+
+template <typename Records>
+bool erase(configuration& target, Records& records, const record_name& record) {
+    if (records.erase(record.name) == 0) {
+        return unknown(kind_name(record.kind), record.name);
+    }
+    target.tombstones.push_back({record.kind, record.name, target.revision});
+    keep_last(target.tombstones, tombstone_limit);
+    return true;
+}
+
+template <typename Records>
+std::uint64_t changed_in(const Records& records, std::string_view name) {
+    const auto it = records.find(name);
+    return it == records.end() ? 0 : it->second.changed;
+}
+
+void forbid_key(configuration& target, const std::string& digest) {
+    auto& withdrawn = target.withdrawn_digests;
+    if (std::find(withdrawn.begin(), withdrawn.end(), digest) == withdrawn.end()) {
+        withdrawn.push_back(digest);
+        keep_last(withdrawn, withdrawn_limit);
+    }
+}
+
 bool apply(configuration& target, const team_template& it) {
-    target.templates.insert_or_assign(it.name, it);
+    target.templates.insert_or_assign(it.name, it).first->second.changed = target.revision;
     return true;
 }
 
 bool apply(configuration& target, const team& it) {
-    target.teams.insert_or_assign(it.name, it);
+    target.teams.insert_or_assign(it.name, it).first->second.changed = target.revision;
     return true;
 }
 
 bool apply(configuration& target, const service& it) {
-    target.services.insert_or_assign(it.name, it);
+    target.services.insert_or_assign(it.name, it).first->second.changed = target.revision;
     return true;
 }
 
 bool apply(configuration& target, const withdraw_template& it) {
-    return target.templates.erase(it.name) > 0 || unknown("template", it.name);
+    return erase(target, target.templates, {record_kind::team_template, it.name});
 }
 
 bool apply(configuration& target, const withdraw_team& it) {
-    return target.teams.erase(it.name) > 0 || unknown("team", it.name);
+    return erase(target, target.teams, {record_kind::team, it.name});
 }
 
 bool apply(configuration& target, const withdraw_service& it) {
-    return target.services.erase(it.name) > 0 || unknown("service", it.name);
+    return erase(target, target.services, {record_kind::service, it.name});
 }
 
 bool apply(configuration& target, const add_key& it) {
@@ -53,6 +99,7 @@
     auto& digests = owner->second.key_digests;
     if (std::find(digests.begin(), digests.end(), it.digest) == digests.end()) {
         digests.push_back(it.digest);
+        owner->second.changed = target.revision;
     }
     return true;
 }
@@ -62,13 +109,87 @@
     if (owner == target.teams.end()) {
         return unknown("team", it.team);
     }
-    return std::erase(owner->second.key_digests, it.digest) > 0 || unknown("key of team", it.team);
+    if (std::erase(owner->second.key_digests, it.digest) == 0) {
+        return unknown("key of team", it.team);
+    }
+    owner->second.changed = target.revision;
+    forbid_key(target, it.digest);
+    return true;
 }
 
+bool apply(configuration& target, const withdraw_digests& it) {
+    for (const auto& digest : it.digests) {
+        for (auto& [name, owner] : target.teams) {
+            if (std::erase(owner.key_digests, digest) > 0) {
+                owner.changed = target.revision;
+            }
+        }
+        forbid_key(target, digest);
+    }
+    return true;
+}
+
+struct record_finder {
+    std::optional<record_name> operator()(const team_template& it) const {
+        return record_name{record_kind::team_template, it.name};
+    }
+
+    std::optional<record_name> operator()(const team& it) const {
+        return record_name{record_kind::team, it.name};
+    }
+
+    std::optional<record_name> operator()(const service& it) const {
+        return record_name{record_kind::service, it.name};
+    }
+
+    std::optional<record_name> operator()(const withdraw_template& it) const {
+        return record_name{record_kind::team_template, it.name};
+    }
+
+    std::optional<record_name> operator()(const withdraw_team& it) const {
+        return record_name{record_kind::team, it.name};
+    }
+
+    std::optional<record_name> operator()(const withdraw_service& it) const {
+        return record_name{record_kind::service, it.name};
+    }
+
+    template <typename Other>
+    std::optional<record_name> operator()(const Other& /*edit of keys*/) const {
+        return std::nullopt;
+    }
+};
+
 } // namespace
 
+std::optional<record_name> record_of(const edit& change) {
+    return std::visit(record_finder{}, change);
+}
+
+std::uint64_t changed_at(const configuration& current, const record_name& record) {
+    std::uint64_t changed = 0;
+    switch (record.kind) {
+    case record_kind::team_template:
+        changed = changed_in(current.templates, record.name);
+        break;
+    case record_kind::team:
+        changed = changed_in(current.teams, record.name);
+        break;
+    case record_kind::service:
+        changed = changed_in(current.services, record.name);
+        break;
+    }
+    for (const auto& it : current.tombstones) {
+        if (it.kind == record.kind && it.name == record.name) {
+            changed = std::max(changed, it.revision);
+        }
+    }
+    return changed;
+}
+
 std::optional<configuration> apply_edit(const configuration& current, const edit& change) {
     auto next = current;
+    next.revision = current.revision + 1;
     if (!std::visit([&](const auto& it) { return apply(next, it); }, change)) {
         return std::nullopt;
     }
@@ -76,7 +197,6 @@
     if (!is_valid(next)) {
         return std::nullopt;
     }
-    next.revision = current.revision + 1;
     index_keys(next);
     return next;
 }
--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -7,6 +7,8 @@
 /// Order in which a thread may take the locks of shared tables: only a lock of a higher rank than all it
 /// holds. No call to the network is made under any of them.
 enum class lock_rank : std::uint8_t {
+    /// host: the control record, confirmations and withdrawn keys.
+    control_table = 5,
     /// host: catalog, generation and authority.
     catalog_table = 10,
     membership_table = 20,
--- /dev/null
+++ b/source/core/host/control_table.cpp
@@ -0,0 +1,105 @@
+#include "control_table.h"
+
+#include <mutex>
+
+#include "acceptance_watch.h"
+#include "core/catalog/in_force.h"
+#include "core/common/last_reason.h"
+#include "core/common/log.h"
+#include "endpoint_use.h"
+#include "heartbeats.h"
+#include "host_state.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::field;
+
+constexpr std::size_t history_limit = 256;
+
+std::shared_ptr<const catalog::configuration> in_force(const control_table& table) {
+    const auto& latest = table.current->configuration;
+    const bool settled = table.accepted == nullptr || table.accepted->version == table.current->version ||
+                         table.accepted->configuration.revision == latest.revision;
+    auto applied = settled ? latest : catalog::narrow(table.accepted->configuration, latest);
+    catalog::exclude_keys(applied, table.withdrawn);
+    return std::make_shared<const catalog::configuration>(std::move(applied));
+}
+
+void remember(control_table& table) {
+    table.history.push_back({table.current, common::unix_milliseconds()});
+    if (table.history.size() > history_limit) {
+        table.history.pop_front();
+    }
+}
+
+void note_members(control_table& table) {
+    for (const auto& it : table.current->members.members) {
+        table.first_seen.try_emplace(it.incarnation, common::monotonic::now());
+    }
+}
+
+void publish_generation(host_state& host) {
+    const std::lock_guard guard(host.membership.mutex);
+    const auto& fresh = host.control.current->members;
+    if (fresh.number > host.membership.current->number) {
+        host.membership.current = std::make_shared<const membership::generation>(fresh);
+    }
+}
+
+} // namespace
+
+std::shared_ptr<const membership::control_state> current_control(host_state& host) {
+    const std::lock_guard guard(host.control.mutex);
+    return host.control.current;
+}
+
+void publish_control(host_state& host) {
+    const auto fresh = in_force(host.control);
+    take_services(host, *fresh);
+    {
+        const std::lock_guard guard(host.catalog.mutex);
+        host.catalog.current = fresh;
+    }
+    publish_generation(host);
+}
+
+bool take_control(host_state& host, membership::control_state fresh, schema::bytes encoded) {
+    const auto version = fresh.version;
+    const auto members = fresh.members.members.size();
+    const auto revision = fresh.configuration.revision;
+    {
+        const std::lock_guard guard(host.control.mutex);
+        auto& table = host.control;
+        if (version <= table.current->version) {
+            return false;
+        }
+        table.current = std::make_shared<const membership::control_state>(std::move(fresh));
+        table.encoded = std::move(encoded);
+        remember(table);
+        note_members(table);
+        if (table.joined_at == common::time_point() &&
+            membership::is_member(table.current->members, host.self.name, host.self.incarnation)) {
+            table.joined_at = common::monotonic::now();
+        }
+        note_confirmation(host, host.self.name, host.self.incarnation, version);
+        publish_control(host);
+    }
+    common::log_info("control_taken",
+                     {field("version", version), field("revision", revision), field("members", members)});
+    send_heartbeats(host);
+    return true;
+}
+
+common::milliseconds authority_length(const host_state& host) {
+    return common::milliseconds(host.settings.authority->length);
+}
+
+void log_last_reason(std::string_view event) {
+    const auto& why = common::last_reason();
+    common::log_warning(event, {field("step", common::step_name(why.at)), field("peer", why.peer),
+                                field("reason", why.text)});
+}
+
+} // namespace lycheegap::host
--- a/source/core/host/dump.cpp
+++ b/source/core/host/dump.cpp
@@ -2,6 +2,7 @@
 
 #include <mutex>
 
+#include "acceptance_watch.h"
 #include "core/allowance/home.h"
 #include "core/transport/record_codec.h"
 #include "host_state.h"
@@ -72,6 +73,15 @@
     }
 }
 
+void dump_control(host_state& host, schema::host_dump_t& dump) {
+    const auto control = current_control(host);
+    dump.control_version = control->version;
+    dump.waiting_for = acceptance_of(host, control->version).waiting_for;
+    const std::lock_guard guard(host.control.mutex);
+    dump.accepted_version = host.control.accepted == nullptr ? 0 : host.control.accepted->version;
+    dump.withdrawn_key_count = static_cast<std::int32_t>(host.control.withdrawn.size());
+}
+
 std::int64_t authority_left_ms(host_state& host) {
     const std::lock_guard guard(host.authority.mutex);
     return common::milliseconds_between(common::monotonic::now(), host.authority.held.deadline);
@@ -86,6 +96,7 @@
         std::make_unique<schema::generation_record_t>(transport::make_record(*current_generation(host)));
     dump.catalog_revision = current_catalog(host)->revision;
     dump.authority_ms_left = authority_left_ms(host);
+    dump_control(host, dump);
     dump_teams(host, dump);
     dump_endpoints(host, dump);
     dump_peers(host, dump);
--- /dev/null
+++ b/source/core/host/heartbeats.cpp
@@ -0,0 +1,239 @@
+#include "heartbeats.h"
+
+#include <mutex>
+
+#include "acceptance_watch.h"
+#include "core/schema/generated/peer_generated.h"
+#include "core/transport/record_codec.h"
+#include "host_state.h"
+#include "withdrawn_keys.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::milliseconds;
+using common::monotonic;
+using common::time_point;
+
+constexpr auto fetch_timeout = milliseconds(1000);
+/// A member is silent after this many lengths of an authority.
+constexpr int silence_lengths = 2;
+
+std::vector<membership::member_answer> all_answers(host_state& host) {
+    const std::lock_guard guard(host.membership.mutex);
+    std::vector<membership::member_answer> answers;
+    for (const auto& [name, it] : host.membership.answers) {
+        answers.push_back(it);
+    }
+    return answers;
+}
+
+// A member that has just joined had no time to answer.
+bool is_new(const control_table& table, std::string_view name, time_point since) {
+    const auto* it = membership::find_member(table.current->members, name);
+    const auto seen = it == nullptr ? table.first_seen.end() : table.first_seen.find(it->incarnation);
+    return seen == table.first_seen.end() || seen->second > since;
+}
+
+} // namespace
+
+schema::heartbeat_t make_beat(host_state& host) {
+    const auto now = monotonic::now();
+    const auto answers = all_answers(host);
+    schema::heartbeat_t beat;
+    beat.host = host.self.name;
+    beat.incarnation = host.self.incarnation;
+    const std::lock_guard guard(host.control.mutex);
+    const auto& table = host.control;
+    beat.generation = table.current->members.number;
+    beat.catalog_revision = table.current->configuration.revision;
+    beat.version = table.current->version;
+    beat.accepted_version = table.accepted == nullptr ? 0 : table.accepted->version;
+    if (table.word_version == table.current->version && table.word_asked_at != time_point()) {
+        beat.store_age = common::milliseconds_between(table.word_asked_at, now) + 1;
+    }
+    beat.withdrawn_hash = withdrawn_hash(host);
+    const auto silence = authority_length(host) * silence_lengths;
+    if (table.joined_at != time_point() && now - table.joined_at > silence) {
+        beat.silent_hosts =
+            membership::silent_members(table.current->members, host.self, answers, now - silence);
+        std::erase_if(beat.silent_hosts,
+                      [&](const std::string& it) { return is_new(table, it, now - silence); });
+    }
+    return beat;
+}
+
+namespace {
+
+schema::bytes encode_body(schema::peer_message_t& message) {
+    return schema::encode<schema::peer_message>(message);
+}
+
+void take_relayed(host_state& host, schema::byte_view answer, const std::string& address) {
+    const auto decoded = schema::decode<schema::peer_message>(answer, address);
+    if (!decoded || decoded->body.Asrelay_answer() == nullptr) {
+        return;
+    }
+    const auto& control = decoded->body.Asrelay_answer()->control;
+    const auto bytes = std::as_bytes(std::span(control));
+    auto state = transport::decode_control(bytes, address);
+    if (!state) {
+        log_last_reason("control_invalid");
+        return;
+    }
+    take_control(host, std::move(*state), schema::bytes(bytes.begin(), bytes.end()));
+}
+
+bool begin_fetch(host_state& host, std::uint64_t version) {
+    const auto now = monotonic::now();
+    const std::lock_guard guard(host.control.mutex);
+    auto& table = host.control;
+    const bool runs = table.fetching >= version && now < table.fetch_deadline;
+    if (version <= table.current->version || runs) {
+        return false;
+    }
+    table.fetching = version;
+    table.fetch_deadline = now + fetch_timeout;
+    return true;
+}
+
+void fetch_from(host_state& host, const std::string& address, std::uint64_t version) {
+    if (!begin_fetch(host, version)) {
+        return;
+    }
+    schema::relay_question_t question;
+    question.host = host.self.name;
+    question.incarnation = host.self.incarnation;
+    schema::peer_message_t message;
+    message.body.Set(std::move(question));
+    // The peer thread must not decode a whole catalog, so a worker does.
+    const auto reply = [&host, address](std::optional<schema::bytes> answer) {
+        if (answer) {
+            host.workers->submit(
+                [&host, address, bytes = std::move(*answer)] { take_relayed(host, bytes, address); });
+        }
+    };
+    host.peers->call(address, encode_body(message), monotonic::now() + fetch_timeout, reply);
+}
+
+/// Notes what a heartbeat or its answer says. The caller holds the control table's lock.
+void note_beat(host_state& host, const schema::heartbeat_t& beat) {
+    note_accepted(host, beat.accepted_version);
+    note_confirmation(host, beat.host, beat.incarnation, beat.version);
+    note_withdrawn_hash(host, beat.host, beat.withdrawn_hash);
+}
+
+void note_answer(host_state& host, const schema::heartbeat_t& beat, time_point asked_at) {
+    const std::lock_guard guard(host.membership.mutex);
+    auto& kept = host.membership.answers[beat.host];
+    // Answers may come out of order; the one to the latest question knows most.
+    if (kept.asked_at <= asked_at || kept.incarnation != beat.incarnation) {
+        kept = {beat.host, beat.incarnation, asked_at, beat.version};
+    }
+}
+
+// An answer counts only from a member that knows no newer version and no other withdrawn key.
+void extend_authority(host_state& host, const schema::heartbeat_t& beat, time_point asked_at) {
+    const auto& table = host.control;
+    const auto length = authority_length(host);
+    const auto& members = table.current->members;
+    const auto answers = all_answers(host);
+    const bool is_own_member = membership::is_member(members, host.self.name, host.self.incarnation);
+    const std::lock_guard guard(host.authority.mutex);
+    auto& held = host.authority.held;
+    const membership::own_knowledge self{host.self.name, host.self.incarnation, table.current->version};
+    membership::extend_by_members(held, members, self, answers, monotonic::now(), length);
+    if (is_own_member && beat.store_age >= 0 && beat.version <= self.version) {
+        const auto age = milliseconds(beat.store_age);
+        membership::extend_by_store(held, membership::relayed_asked_at(asked_at, age), length);
+    }
+}
+
+void take_answer(host_state& host, const schema::heartbeat_t& beat, const std::string& address,
+                 time_point asked_at) {
+    bool same_withdrawn = false;
+    {
+        const std::lock_guard guard(host.control.mutex);
+        note_beat(host, beat);
+        host.control.silence_reports[beat.host] = {beat.host, beat.incarnation, asked_at, beat.silent_hosts};
+        same_withdrawn = beat.withdrawn_hash == withdrawn_hash(host);
+        if (same_withdrawn) {
+            note_answer(host, beat, asked_at);
+            extend_authority(host, beat, asked_at);
+        }
+    }
+    if (!same_withdrawn) {
+        exchange_withdrawn(host, address);
+    }
+    fetch_from(host, address, beat.version);
+}
+
+void take_reply(host_state& host, schema::byte_view message, const std::string& address,
+                time_point asked_at) {
+    const auto decoded = schema::decode<schema::peer_message>(message, address);
+    const auto* answer = decoded ? decoded->body.Asheartbeat_answer() : nullptr;
+    if (answer != nullptr && answer->beat != nullptr) {
+        take_answer(host, *answer->beat, address, asked_at);
+    }
+}
+
+std::string address_of(host_state& host, std::string_view name) {
+    const auto control = current_control(host);
+    const auto* it = membership::find_member(control->members, name);
+    return it == nullptr ? std::string() : it->peer_address;
+}
+
+} // namespace
+
+void send_heartbeats(host_state& host) {
+    const auto control = current_control(host);
+    schema::peer_message_t message;
+    message.body.Set(make_beat(host));
+    const auto encoded = encode_body(message);
+    const auto asked_at = monotonic::now();
+    for (const auto& it : control->members.members) {
+        if (it.name == host.self.name) {
+            continue;
+        }
+        const auto reply = [&host, asked_at, address = it.peer_address](std::optional<schema::bytes> answer) {
+            if (answer) {
+                take_reply(host, *answer, address, asked_at);
+            }
+        };
+        host.peers->call(it.peer_address, encoded, asked_at + authority_length(host), reply);
+    }
+    const std::lock_guard guard(host.control.mutex);
+    note_confirmation(host, host.self.name, host.self.incarnation, host.control.current->version);
+}
+
+schema::bytes answer_heartbeat(host_state& host, const schema::heartbeat_t& beat) {
+    {
+        const std::lock_guard guard(host.control.mutex);
+        note_beat(host, beat);
+    }
+    schema::heartbeat_answer_t answer;
+    answer.beat = std::make_unique<schema::heartbeat_t>(make_beat(host));
+    schema::peer_message_t message;
+    message.body.Set(std::move(answer));
+    const auto address = address_of(host, beat.host);
+    if (!address.empty()) {
+        fetch_from(host, address, beat.version);
+    }
+    return encode_body(message);
+}
+
+schema::bytes answer_relay_question(host_state& host) {
+    schema::relay_answer_t answer;
+    answer.host = host.self.name;
+    {
+        const std::lock_guard guard(host.control.mutex);
+        const auto* first = reinterpret_cast<const std::uint8_t*>(host.control.encoded.data());
+        answer.control.assign(first, first + host.control.encoded.size());
+    }
+    schema::peer_message_t message;
+    message.body.Set(std::move(answer));
+    return encode_body(message);
+}
+
+} // namespace lycheegap::host
--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -5,6 +5,7 @@
 #include "core/common/digest.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
+#include "generation_upkeep.h"
 #include "operator_api.h"
 #include "peer_api.h"
 #include "serve_lookup.h"
@@ -101,7 +102,8 @@
 
 bool has_authority(host_state& host, common::time_point now) {
     const std::lock_guard guard(host.authority.mutex);
-    return membership::holds(host.authority.held, now);
+    const auto& table = host.authority;
+    return table.knows_withdrawn && !table.given_up && membership::holds(table.held, now);
 }
 
 std::unique_ptr<host_state> start_host(settings::daemon_settings settings) {
@@ -123,9 +125,10 @@
 }
 
 void stop_host(host_state& host) {
-    leave_generation(host);
+    announce_leaving(host);
     host.lookup_server->stop();
     host.request_server->stop();
+    leave_generation(host);
     host.operator_server->stop();
     host.peers->stop();
     host.workers->stop();
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "control_table.h"
 #include "core/allowance/token_bucket.h"
 #include "core/catalog/catalog.h"
 #include "core/common/metrics.h"
@@ -27,14 +28,11 @@
     common::ranked_mutex mutex{common::lock_rank::catalog_table};
     /// Never null; readers keep the pointer and not the lock.
     std::shared_ptr<const catalog::configuration> current{std::make_shared<catalog::configuration>()};
-    /// Revision of the store's value that `current` was read from.
-    std::uint64_t store_revision{0};
 };
 
 struct membership_table {
     common::ranked_mutex mutex{common::lock_rank::membership_table};
     std::shared_ptr<const membership::generation> current{std::make_shared<membership::generation>()};
-    std::uint64_t store_revision{0};
     /// Last answer of each other member.
     std::map<std::string, membership::member_answer, std::less<>> answers;
 };
@@ -42,6 +40,10 @@
 struct authority_table {
     common::ranked_mutex mutex{common::lock_rank::authority_table};
     membership::authority held;
+    /// Enough members told which keys are withdrawn; false after a start.
+    bool knows_withdrawn{false};
+    /// This host stops; nothing extends its authority any more.
+    bool given_up{false};
 };
 
 /// What this host holds and has counted for one team.
@@ -69,6 +71,7 @@
     /// This host with its actual addresses and incarnation.
     membership::member self;
     common::metrics_table metrics;
+    control_table control;
     catalog_table catalog;
     membership_table membership;
     authority_table authority;
@@ -97,7 +100,7 @@
 /// Starts listeners, pool and upkeep. The reason names the listener that cannot open.
 std::unique_ptr<host_state> start_host(settings::daemon_settings settings);
 
-/// Leaves the generation and stops everything.
+/// Marks this host as leaving, ends the callers' listeners, leaves the generation and stops everything.
 void stop_host(host_state& host);
 
 } // namespace lycheegap::host
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -3,8 +3,10 @@
 #include "core/allowance/home.h"
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
+#include "heartbeats.h"
 #include "host_state.h"
 #include "spend.h"
+#include "withdrawn_keys.h"
 
 namespace lycheegap::host {
 
@@ -27,17 +29,6 @@
     return encode_message(message);
 }
 
-schema::bytes answer_heartbeat(host_state& host) {
-    schema::heartbeat_answer_t answer;
-    answer.host = host.self.name;
-    answer.incarnation = host.self.incarnation;
-    answer.generation = current_generation(host)->number;
-    answer.catalog_revision = current_catalog(host)->revision;
-    schema::peer_message_t message;
-    message.body.Set(std::move(answer));
-    return encode_message(message);
-}
-
 bool is_home(host_state& host, std::string_view team) {
     const auto members = current_generation(host);
     const auto* home = allowance::home_of(team, *members);
@@ -65,8 +56,14 @@
     if (!decoded) {
         return refuse(common::step::decode, "not a valid message");
     }
-    if (decoded->body.Asheartbeat() != nullptr) {
-        return answer_heartbeat(host);
+    if (const auto* beat = decoded->body.Asheartbeat()) {
+        return answer_heartbeat(host, *beat);
+    }
+    if (decoded->body.Asrelay_question() != nullptr) {
+        return answer_relay_question(host);
+    }
+    if (const auto* keys = decoded->body.Aswithdrawn_keys()) {
+        return answer_withdrawn(host, *keys);
     }
     if (const auto* request = decoded->body.Astoken_request()) {
         return answer_tokens(host, *request);
--- a/source/core/host/store_keys.h
+++ b/source/core/host/store_keys.h
@@ -4,8 +4,7 @@
 
 namespace lycheegap::host {
 
-/// Keys of the values that the fleet keeps in the platform's store.
-inline constexpr std::string_view catalog_key = "lycheegap/catalog";
-inline constexpr std::string_view generation_key = "lycheegap/generation";
+/// Key of the one value that the fleet keeps in the platform's store: the control record.
+inline constexpr std::string_view control_key = "lycheegap/control";
 
 } // namespace lycheegap::host
--- /dev/null
+++ b/source/core/host/store_refresh.cpp
@@ -0,0 +1,107 @@
+#include "store_refresh.h"
+
+#include <algorithm>
+#include <mutex>
+
+#include "control_write.h"
+#include "core/catalog/edit.h"
+#include "core/common/digest.h"
+#include "core/common/last_reason.h"
+#include "core/membership/relays.h"
+#include "generation_upkeep.h"
+#include "host_state.h"
+#include "withdrawn_keys.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::milliseconds;
+using common::monotonic;
+using common::time_point;
+
+constexpr std::int64_t backoff_ceiling_ms = 2000;
+constexpr auto store_write_timeout = milliseconds(3000);
+
+bool is_own_relay(host_state& host) {
+    const auto since = monotonic::now() - authority_length(host);
+    const auto control = current_control(host);
+    std::vector<membership::member_answer> answers;
+    const std::lock_guard guard(host.membership.mutex);
+    for (const auto& [name, it] : host.membership.answers) {
+        answers.push_back(it);
+    }
+    return membership::is_relay(control->members, host.self, answers, since);
+}
+
+bool runs_low(host_state& host) {
+    const std::lock_guard guard(host.authority.mutex);
+    return host.authority.held.deadline < monotonic::now() + authority_length(host) / 2;
+}
+
+bool needs_store(host_state& host) {
+    const auto control = current_control(host);
+    const bool member = membership::is_member(control->members, host.self.name, host.self.incarnation);
+    return !member || is_own_relay(host) || runs_low(host);
+}
+
+/// The watch is short against the authority, since its word counts from its question.
+bool ask_store(host_state& host) {
+    if (current_control(host)->version == 0 || !is_own_relay(host)) {
+        return read_control(host);
+    }
+    return watch_control(host, authority_length(host) / 3);
+}
+
+void store_withdrawn(host_state& host) {
+    const auto digests = unstored_withdrawn(host);
+    if (digests.empty()) {
+        return;
+    }
+    const catalog::edit change = catalog::withdraw_digests{digests};
+    const auto apply = [&](const membership::control_state& current) {
+        auto next = current;
+        auto edited = catalog::apply_edit(current.configuration, change);
+        if (!edited) {
+            return std::optional<membership::control_state>();
+        }
+        next.configuration = std::move(*edited);
+        return std::optional(std::move(next));
+    };
+    const auto is_done = [&](const membership::control_state&) { return unstored_withdrawn(host).empty(); };
+    write_control(host, apply, is_done, monotonic::now() + store_write_timeout);
+}
+
+// Full jitter: when the store comes back its callers do not all come at once.
+milliseconds backoff(const host_state& host, int failures) {
+    const std::int64_t base = host.settings.store->poll_interval;
+    const auto ceiling = std::min(backoff_ceiling_ms, base << std::min(failures, 10));
+    return milliseconds(
+        1 + static_cast<std::int64_t>(common::system_random() % static_cast<std::uint64_t>(ceiling)));
+}
+
+void refresh(host_state& host, int failures) {
+    const milliseconds idle(host.settings.store->poll_interval);
+    auto pause = idle;
+    if (needs_store(host)) {
+        const bool watched = current_control(host)->version != 0 && is_own_relay(host);
+        if (ask_store(host)) {
+            failures = 0;
+            keep_membership(host);
+            store_withdrawn(host);
+            pause = watched ? milliseconds(0) : idle;
+        } else {
+            log_last_reason("store_unread");
+            pause = backoff(host, failures++);
+        }
+    }
+    host.workers->submit_at(monotonic::now() + pause, [&host, failures] { refresh(host, failures); });
+}
+
+} // namespace
+
+void start_store_refresh(host_state& host) {
+    host.workers->submit([&host] { refresh(host, 0); });
+}
+
+} // namespace lycheegap::host
--- /dev/null
+++ b/source/core/host/withdrawn_keys.cpp
@@ -0,0 +1,167 @@
+#include "withdrawn_keys.h"
+
+#include <algorithm>
+#include <mutex>
+
+#include "core/common/digest.h"
+#include "core/common/log.h"
+#include "core/schema/generated/peer_generated.h"
+#include "host_state.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::milliseconds;
+using common::monotonic;
+
+constexpr auto exchange_timeout = milliseconds(1000);
+
+std::vector<std::string> held_digests(host_state& host) {
+    const std::lock_guard guard(host.control.mutex);
+    return {host.control.withdrawn.begin(), host.control.withdrawn.end()};
+}
+
+std::size_t agreeing_members(const host_state& host, std::uint64_t hash) {
+    std::size_t n = 0;
+    for (const auto& it : host.control.current->members.members) {
+        const auto told = host.control.withdrawn_hashes.find(it.name);
+        n += it.name != host.self.name && told != host.control.withdrawn_hashes.end() && told->second == hash
+                 ? 1
+                 : 0;
+    }
+    return n;
+}
+
+schema::bytes encode_digests(host_state& host) {
+    schema::withdrawn_keys_t keys;
+    keys.host = host.self.name;
+    keys.incarnation = host.self.incarnation;
+    keys.digests = held_digests(host);
+    schema::peer_message_t message;
+    message.body.Set(std::move(keys));
+    return schema::encode<schema::peer_message>(message);
+}
+
+void take_digests(host_state& host, std::span<const std::string> digests, const std::string& from) {
+    add_withdrawn(host, digests);
+    const std::lock_guard guard(host.control.mutex);
+    // What the other side sent is the same as ours only when it told all that we hold.
+    const bool same =
+        std::all_of(host.control.withdrawn.begin(), host.control.withdrawn.end(), [&](const std::string& it) {
+            return std::find(digests.begin(), digests.end(), it) != digests.end();
+        });
+    if (same) {
+        note_withdrawn_hash(host, from, withdrawn_hash(host));
+    }
+}
+
+void take_reply(host_state& host, schema::byte_view answer, const std::string& address) {
+    const auto decoded = schema::decode<schema::peer_message>(answer, address);
+    const auto* keys = decoded ? decoded->body.Aswithdrawn_keys_answer() : nullptr;
+    if (keys != nullptr) {
+        take_digests(host, keys->digests, keys->host);
+    }
+}
+
+} // namespace
+
+std::uint64_t withdrawn_hash(const host_state& host) {
+    const auto& table = host.control;
+    std::uint64_t hash = 0;
+    for (const auto& it : table.withdrawn) {
+        hash ^= common::stable_hash(it);
+    }
+    for (const auto& it : table.current->configuration.withdrawn_digests) {
+        hash ^= table.withdrawn.contains(it) ? 0 : common::stable_hash(it);
+    }
+    return hash;
+}
+
+void note_withdrawn_hash(host_state& host, std::string_view name, std::uint64_t hash) {
+    auto& table = host.control;
+    table.withdrawn_hashes.insert_or_assign(std::string(name), hash);
+    table.changed.notify_all();
+    const auto others = std::max<std::size_t>(table.current->members.members.size(), 1) - 1;
+    if (agreeing_members(host, withdrawn_hash(host)) * 2 >= others) {
+        const std::lock_guard guard(host.authority.mutex);
+        host.authority.knows_withdrawn = true;
+    }
+}
+
+void add_withdrawn(host_state& host, std::span<const std::string> digests) {
+    const std::lock_guard guard(host.control.mutex);
+    const auto before = host.control.withdrawn.size();
+    host.control.withdrawn.insert(digests.begin(), digests.end());
+    if (host.control.withdrawn.size() != before) {
+        publish_control(host);
+        common::log_info("keys_withdrawn", {common::field("held", host.control.withdrawn.size())});
+    }
+}
+
+void exchange_withdrawn(host_state& host, const std::string& address) {
+    const auto reply = [&host, address](std::optional<schema::bytes> answer) {
+        if (answer) {
+            host.workers->submit(
+                [&host, address, bytes = std::move(*answer)] { take_reply(host, bytes, address); });
+        }
+    };
+    host.peers->call(address, encode_digests(host), monotonic::now() + exchange_timeout, reply);
+}
+
+void spread_withdrawn(host_state& host) {
+    const auto control = current_control(host);
+    for (const auto& it : control->members.members) {
+        if (it.name != host.self.name) {
+            exchange_withdrawn(host, it.peer_address);
+        }
+    }
+}
+
+schema::bytes answer_withdrawn(host_state& host, const schema::withdrawn_keys_t& message) {
+    take_digests(host, message.digests, message.host);
+    schema::withdrawn_keys_answer_t answer;
+    answer.host = host.self.name;
+    answer.incarnation = host.self.incarnation;
+    answer.digests = held_digests(host);
+    schema::peer_message_t reply;
+    reply.body.Set(std::move(answer));
+    return schema::encode<schema::peer_message>(reply);
+}
+
+std::vector<std::string> unstored_withdrawn(host_state& host) {
+    const std::lock_guard guard(host.control.mutex);
+    const auto& stored = host.control.current->configuration.withdrawn_digests;
+    std::vector<std::string> unstored;
+    for (const auto& it : host.control.withdrawn) {
+        if (std::find(stored.begin(), stored.end(), it) == stored.end()) {
+            unstored.push_back(it);
+        }
+    }
+    return unstored;
+}
+
+withdrawal_reach wait_for_withdrawal(host_state& host, common::time_point deadline) {
+    std::unique_lock guard(host.control.mutex);
+    while (true) {
+        const auto hash = withdrawn_hash(host);
+        withdrawal_reach reach{1, {}};
+        for (const auto& it : host.control.current->members.members) {
+            const auto told = host.control.withdrawn_hashes.find(it.name);
+            if (it.name == host.self.name) {
+                continue;
+            }
+            if (told != host.control.withdrawn_hashes.end() && told->second == hash) {
+                ++reach.hosts_in_force;
+            } else {
+                reach.waiting_for.push_back(it.name);
+            }
+        }
+        if (reach.waiting_for.empty() || monotonic::now() >= deadline) {
+            return reach;
+        }
+        host.control.changed.wait_until(guard, deadline);
+    }
+}
+
+} // namespace lycheegap::host
--- a/source/core/membership/authority.cpp
+++ b/source/core/membership/authority.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "acceptance.h"
+
 namespace lycheegap::membership {
 
 namespace {
@@ -16,6 +18,10 @@
     extend_to(target, asked_at + length);
 }
 
+common::time_point relayed_asked_at(common::time_point asked_at, common::milliseconds age) {
+    return asked_at - with_drift(age);
+}
+
 void extend_by_members(authority& target, const generation& current, const own_knowledge& self,
                        std::span<const member_answer> answers, common::time_point now,
                        common::milliseconds length) {
@@ -25,7 +31,7 @@
     std::vector<common::time_point> asked{now};
     for (const auto& it : answers) {
         const bool counts = it.name != self.name && is_member(current, it.name, it.incarnation);
-        if (counts && it.catalog_revision <= self.catalog_revision) {
+        if (counts && it.version <= self.version) {
             asked.push_back(it.asked_at);
         }
     }
--- a/source/core/transport/record_codec.cpp
+++ b/source/core/transport/record_codec.cpp
@@ -61,6 +61,32 @@
     return record;
 }
 
+catalog::record_kind parse_kind(std::string_view name) {
+    if (name == "template") {
+        return catalog::record_kind::team_template;
+    }
+    return name == "service" ? catalog::record_kind::service : catalog::record_kind::team;
+}
+
+std::string_view kind_text(catalog::record_kind kind) {
+    switch (kind) {
+    case catalog::record_kind::team_template:
+        return "template";
+    case catalog::record_kind::service:
+        return "service";
+    default:
+        return "team";
+    }
+}
+
+std::unique_ptr<schema::tombstone_record_t> make_tombstone(const catalog::tombstone& source) {
+    auto record = std::make_unique<schema::tombstone_record_t>();
+    record->kind = kind_text(source.kind);
+    record->name = source.name;
+    record->revision = source.revision;
+    return record;
+}
+
 template <typename Record, typename Source>
 std::unique_ptr<Record> boxed(const Source& source) {
     return std::make_unique<Record>(make_record(source));
@@ -107,12 +133,13 @@
     parsed.queue_timeout_ms = record.queue_timeout;
     parsed.attempt_limit = record.attempt_limit;
     parsed.loan_percent = record.loan_percent;
+    parsed.changed = record.changed;
     return parsed;
 }
 
 catalog::team parse_team(const schema::team_record_t& record) {
-    return {record.name, record.template_name, record.key_digests,
-            record.rate, record.burst,         record.services};
+    return {record.name,  record.template_name, record.key_digests, record.rate,
+            record.burst, record.services,      record.changed};
 }
 
 catalog::service parse_service(const schema::service_record_t& record) {
@@ -121,6 +148,7 @@
     for (const auto& it : record.endpoints) {
         parsed.endpoints.push_back(parse_endpoint(*it));
     }
+    parsed.changed = record.changed;
     return parsed;
 }
 
@@ -136,6 +164,10 @@
     for (const auto& it : record.teams) {
         parsed.teams.insert_or_assign(it->name, parse_team(*it));
     }
+    parsed.withdrawn_digests = record.withdrawn_digests;
+    for (const auto& it : record.tombstones) {
+        parsed.tombstones.push_back({parse_kind(it->kind), it->name, it->revision});
+    }
     catalog::index_keys(parsed);
     if (!catalog::is_valid(parsed)) {
         return std::nullopt;
@@ -154,7 +186,7 @@
 membership::member parse_member(const schema::member_record_t& record) {
     return {record.name,         record.incarnation,    record.region,          record.failure_domain,
             record.peer_address, record.lookup_address, record.request_address, record.operator_address,
-            record.leaving};
+            record.leaving,      record.joined};
 }
 
 membership::generation parse_generation(const schema::generation_record_t& record) {
@@ -163,6 +195,10 @@
     for (const auto& it : record.members) {
         parsed.members.push_back(parse_member(*it));
     }
+    parsed.floor = record.floor;
+    for (const auto& it : record.departed) {
+        parsed.departed.push_back({it->name, it->incarnation, it->joined, it->left, it->gave_up});
+    }
     return parsed;
 }
 
@@ -176,6 +212,7 @@
     record.queue_timeout = source.queue_timeout_ms;
     record.attempt_limit = source.attempt_limit;
     record.loan_percent = source.loan_percent;
+    record.changed = source.changed;
     return record;
 }
 
@@ -187,6 +224,7 @@
     record.rate = source.rate;
     record.burst = source.burst;
     record.services = source.services;
+    record.changed = source.changed;
     return record;
 }
 
@@ -196,6 +234,7 @@
     for (const auto& it : source.endpoints) {
         record.endpoints.push_back(make_endpoint(it));
     }
+    record.changed = source.changed;
     return record;
 }
 
@@ -211,6 +250,10 @@
     for (const auto& [name, it] : source.services) {
         record.services.push_back(boxed<schema::service_record_t>(it));
     }
+    record.withdrawn_digests = source.withdrawn_digests;
+    for (const auto& it : source.tombstones) {
+        record.tombstones.push_back(make_tombstone(it));
+    }
     return record;
 }
 
@@ -225,6 +268,7 @@
     record.request_address = source.request_address;
     record.operator_address = source.operator_address;
     record.leaving = source.leaving;
+    record.joined = source.joined;
     return record;
 }
 
@@ -234,7 +278,45 @@
     for (const auto& it : source.members) {
         record.members.push_back(boxed<schema::member_record_t>(it));
     }
+    record.floor = source.floor;
+    for (const auto& it : source.departed) {
+        auto departed = std::make_unique<schema::departed_record_t>();
+        departed->name = it.name;
+        departed->incarnation = it.incarnation;
+        departed->joined = it.joined;
+        departed->left = it.left;
+        departed->gave_up = it.gave_up;
+        record.departed.push_back(std::move(departed));
+    }
     return record;
 }
 
+std::optional<membership::control_state> decode_control(schema::byte_view encoded, std::string_view peer) {
+    if (encoded.empty()) {
+        return membership::control_state{};
+    }
+    const auto record = schema::decode<schema::control_record>(encoded, peer);
+    if (!record) {
+        return std::nullopt;
+    }
+    if (!record->generation || !record->catalog) {
+        return fail(step::decode, peer, "the control record lacks its generation or catalog");
+    }
+    auto parsed = parse_configuration(*record->catalog);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    return membership::control_state{record->version, parse_generation(*record->generation),
+                                     std::move(*parsed)};
+}
+
+schema::bytes encode_control(const membership::control_state& source, std::uint64_t writer) {
+    schema::control_record_t record;
+    record.version = source.version;
+    record.writer = writer;
+    record.generation = boxed<schema::generation_record_t>(source.members);
+    record.catalog = boxed<schema::catalog_record_t>(source.configuration);
+    return schema::encode<schema::control_record>(record);
+}
+
 } // namespace lycheegap::transport
--- a/source/core/transport/record_codec.h
+++ b/source/core/transport/record_codec.h
@@ -4,8 +4,10 @@
 
 #include "core/catalog/catalog.h"
 #include "core/catalog/edit.h"
-#include "core/membership/generation.h"
+#include "core/membership/control_state.h"
+#include "core/schema/codec.h"
 #include "core/schema/generated/catalog_generated.h"
+#include "core/schema/generated/control_generated.h"
 #include "core/schema/generated/membership_generated.h"
 #include "core/schema/generated/operators_generated.h"
 
@@ -22,6 +24,11 @@
 membership::member parse_member(const schema::member_record_t& record);
 membership::generation parse_generation(const schema::generation_record_t& record);
 
+/// The control record as it stands in the store or comes from a peer; an empty value is version 0.
+std::optional<membership::control_state> decode_control(schema::byte_view encoded, std::string_view peer);
+/// `writer` makes the value unique.
+schema::bytes encode_control(const membership::control_state& source, std::uint64_t writer);
+
 schema::template_record_t make_record(const catalog::team_template& source);
 schema::team_record_t make_record(const catalog::team& source);
 schema::service_record_t make_record(const catalog::service& source);
--- a/source/core/transport/store_client.cpp
+++ b/source/core/transport/store_client.cpp
@@ -61,11 +61,9 @@
     if (current->data == data && current->revision > expected) {
         return {swap_state::written, current->revision};
     }
-    // An unchanged revision does not tell: the write may still be on its way.
-    if (current->revision == expected) {
-        return {swap_state::unknown, current->revision};
-    }
-    return {swap_state::conflict, current->revision};
+    // An unchanged revision does not tell: the write may still be on its way. Another value does not tell
+    // either: it may stand on ours.
+    return {swap_state::unknown, current->revision};
 }
 
 } // namespace
--- a/source/core/transport/store_client.h
+++ b/source/core/transport/store_client.h
@@ -44,7 +44,8 @@
                                        common::milliseconds wait);
 
 /// Writes when the value's revision is still `expected`. After a lost answer the value is read back: the
-/// write may have taken effect. Unknown only when the store gives no answer at all.
+/// write may have taken effect. `data` must differ from every other writer's. Unknown when the store gives no
+/// answer at all or holds another value by then, which may have followed this one.
 swap_result compare_and_swap(const store_client& store, std::string_view key, std::uint64_t expected,
                              std::string_view data);
 
--- a/source/unit_tests/membership/membership_test.cpp
+++ b/source/unit_tests/membership/membership_test.cpp
@@ -23,8 +23,8 @@
     return it;
 }
 
-member_answer answer_of(const char* name, int asked_ms, std::uint64_t revision) {
-    return {name, 1, start + milliseconds(asked_ms), revision, 3};
+member_answer answer_of(const char* name, int asked_ms, std::uint64_t version) {
+    return {name, 1, start + milliseconds(asked_ms), version};
 }
 
 } // namespace
@@ -60,12 +60,12 @@
     CHECK(held.deadline == start + milliseconds(700) + length);
 }
 
-TEST_CASE("a member that knows a newer revision, or is no member, does not count") {
+TEST_CASE("a member that knows a newer version, or is no member, does not count") {
     authority held;
     const std::vector<member_answer> newer = {answer_of("b", 0, 8), answer_of("c", 0, 8)};
     extend_by_members(held, three(), {"a", 1, 7}, newer, start, length);
     CHECK_FALSE(holds(held, start));
-    const std::vector<member_answer> stranger = {answer_of("x", 0, 7), {"b", 9, start, 7, 3}};
+    const std::vector<member_answer> stranger = {answer_of("x", 0, 7), {"b", 9, start, 7}};
     extend_by_members(held, three(), {"a", 1, 7}, stranger, start, length);
     CHECK_FALSE(holds(held, start));
     const std::vector<member_answer> good = {answer_of("b", 0, 7)};
