Let an idle peer thread sleep; measure capacity slopes

Cause: a peer connection was registered for EPOLLOUT and the registration was only changed when something had been left unsent, so an idle, writable socket made epoll_wait return at once: one thread of each host used 70 % of a core (two hosts at rest, 3 s). Ruled out: timers (next_expiry) and the pool, which slept. Change: the session remembers what is watched and settle_sessions changes it when it differs. Test: an idle link used 0.557 s of processor time in 0.5 s before, under the bound of 0.1 s after. capacity_slopes prints slopes of catalog, generation and upkeep; it found this.

--- a/source/benchmarks/capacity_slopes.cpp
+++ b/source/benchmarks/capacity_slopes.cpp
@@ -1,1 +1,269 @@
-int main() {}
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <thread>
+
+#include <fmt/format.h>
+#include <linux/tcp.h>
+#include <malloc.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include "core/common/log.h"
+#include "core/common/process.h"
+#include "core/host/host_state.h"
+#include "core/schema/codec.h"
+#include "core/transport/record_codec.h"
+#include "decision_bench.h"
+#include "failure_tests/fleet.h"
+
+namespace {
+
+namespace bench = lycheegap::benchmarks;
+namespace common = lycheegap::common;
+namespace failure_tests = lycheegap::failure_tests;
+namespace host = lycheegap::host;
+namespace schema = lycheegap::schema;
+namespace settings = lycheegap::settings;
+namespace transport = lycheegap::transport;
+
+constexpr std::array catalog_sizes = {100, 200, 400, 800};
+constexpr std::array generation_sizes = {24, 100, 300, 870};
+constexpr std::array fleet_sizes = {4, 8, 12, 16, 24};
+constexpr double measured_s = 5;
+constexpr auto join_limit = common::milliseconds(30'000);
+constexpr int first_ip = 11;
+constexpr int descriptor_limit = 65'536;
+/// IP and TCP headers with time stamps, for each segment.
+constexpr double segment_header_bytes = 52;
+
+/// Straight line through measured points, least squares.
+struct line {
+    double offset{0};
+    double slope{0};
+};
+
+struct point {
+    double x{0};
+    double y{0};
+};
+
+line fit(std::span<const point> points) {
+    double x = 0;
+    double y = 0;
+    double xx = 0;
+    double xy = 0;
+    for (const auto& it : points) {
+        x += it.x;
+        y += it.y;
+        xx += it.x * it.x;
+        xy += it.x * it.y;
+    }
+    const auto n = static_cast<double>(points.size());
+    const double slope = (n * xy - x * y) / (n * xx - x * x);
+    return {(y - slope * x) / n, slope};
+}
+
+void print_fit(std::string_view what, std::string_view unit, std::string_view per,
+               std::span<const point> points) {
+    const auto found = fit(points);
+    std::cout << fmt::format("slope: {}: {:.4g} {} for each {}, offset {:.4g}\n", what, found.slope, unit,
+                             per, found.offset);
+}
+
+double heap_bytes() {
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+/// Catalog: size of the store's value, processor time of taking it over, memory.
+void measure_catalog() {
+    std::vector<point> sizes;
+    std::vector<point> times;
+    std::vector<point> memory;
+    std::cout << "catalog: teams, value bytes, decode us, heap bytes\n";
+    for (const int teams : catalog_sizes) {
+        const double before = heap_bytes();
+        const auto configuration = bench::make_configuration(teams, 220);
+        const double held = heap_bytes() - before;
+        const auto encoded = schema::encode<schema::catalog_record>(transport::make_record(configuration));
+        const double cost = bench::cost_us([&] {
+            const auto record = schema::decode<schema::catalog_record>(encoded, "store");
+            if (!transport::parse_configuration(*record)) {
+                std::abort();
+            }
+        });
+        std::cout << fmt::format("{} {} {:.1f} {:.0f}\n", teams, encoded.size(), cost, held);
+        sizes.push_back({static_cast<double>(teams), static_cast<double>(encoded.size())});
+        times.push_back({static_cast<double>(teams), cost});
+        memory.push_back({static_cast<double>(teams), held});
+    }
+    print_fit("catalog value", "bytes", "team", sizes);
+    print_fit("catalog decode", "us", "team", times);
+    print_fit("catalog memory", "bytes", "team", memory);
+}
+
+void measure_generation() {
+    std::vector<point> sizes;
+    std::vector<point> times;
+    std::vector<point> memory;
+    std::cout << "generation: hosts, value bytes, decode us, heap bytes\n";
+    for (const int hosts : generation_sizes) {
+        const double before = heap_bytes();
+        const auto generation = bench::make_generation(hosts, 9);
+        const double held = heap_bytes() - before;
+        const auto encoded = schema::encode<schema::generation_record>(transport::make_record(generation));
+        const double cost = bench::cost_us([&] {
+            const auto record = schema::decode<schema::generation_record>(encoded, "store");
+            if (transport::parse_generation(*record).members.empty()) {
+                std::abort();
+            }
+        });
+        std::cout << fmt::format("{} {} {:.1f} {:.0f}\n", hosts, encoded.size(), cost, held);
+        sizes.push_back({static_cast<double>(hosts), static_cast<double>(encoded.size())});
+        times.push_back({static_cast<double>(hosts), cost});
+        memory.push_back({static_cast<double>(hosts), held});
+    }
+    print_fit("generation value", "bytes", "host", sizes);
+    print_fit("generation decode", "us", "host", times);
+    print_fit("generation memory", "bytes", "host", memory);
+}
+
+/// What moved on all TCP connections of this process. Lost with a connection that closes.
+struct traffic {
+    double payload_bytes{0};
+    double segments{0};
+};
+
+traffic count_traffic() {
+    traffic sum;
+    for (int fd = 0; fd < descriptor_limit; ++fd) {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0) {
+            sum.payload_bytes += static_cast<double>(info.tcpi_bytes_acked + info.tcpi_bytes_received);
+            sum.segments += info.tcpi_segs_out + info.tcpi_segs_in;
+        }
+    }
+    return sum;
+}
+
+double process_cpu_s() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    const auto seconds = [](const timeval& it) {
+        return static_cast<double>(it.tv_sec) + 1e-6 * static_cast<double>(it.tv_usec);
+    };
+    return seconds(used.ru_utime) + seconds(used.ru_stime);
+}
+
+std::unique_ptr<host::host_state> start_one(const failure_tests::fleet& it, int n) {
+    const auto text =
+        fmt::format("[host]\nname = host-{0}\naddress = {1}.{2}\nregion = region-{3}\n"
+                    "failure_domain = region-{3}-{4}\n[operators]\nsecret = o\n[peers]\nsecret = p\n"
+                    "[store]\naddress = {5}\n",
+                    n + 1, it.network, first_ip + n, n % 3 + 1, n / 3 % 2 + 1, it.store_address);
+    auto parsed = settings::parse_settings(text, "host.ini");
+    return parsed ? host::start_host(std::move(*parsed)) : nullptr;
+}
+
+double store_calls(host::host_state& host) {
+    for (const auto& it : common::read_metrics(host.metrics)) {
+        if (it.name == "store_calls") {
+            return static_cast<double>(it.count);
+        }
+    }
+    return 0;
+}
+
+/// One fleet at rest: what upkeep alone costs each host.
+struct upkeep_cost {
+    double bytes_per_s{0};
+    double payload_per_s{0};
+    double cpu_percent{0};
+    double store_calls_per_s{0};
+};
+
+std::optional<upkeep_cost> measure_fleet(int size) {
+    const auto it = failure_tests::start_fleet({0, 0, {"region-1-1"}, "", false});
+    std::vector<std::unique_ptr<host::host_state>> hosts;
+    for (int n = 0; it && n < size; ++n) {
+        hosts.push_back(start_one(*it, n));
+        if (!hosts.back()) {
+            return std::nullopt;
+        }
+    }
+    const auto all_joined = [&] {
+        return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) {
+            return host::current_generation(*host)->members.size() == hosts.size();
+        });
+    };
+    if (!it || !failure_tests::wait_until(join_limit, all_joined)) {
+        return std::nullopt;
+    }
+    // Connections to all members stand after the first heartbeats.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const auto calls = [&] {
+        double sum = 0;
+        for (const auto& host : hosts) {
+            sum += store_calls(*host);
+        }
+        return sum;
+    };
+    const auto began = count_traffic();
+    const double began_calls = calls();
+    const double began_cpu_s = process_cpu_s();
+    std::this_thread::sleep_for(std::chrono::duration<double>(measured_s));
+    const double cpu_s = process_cpu_s() - began_cpu_s;
+    const auto ended = count_traffic();
+    const double payload = ended.payload_bytes - began.payload_bytes;
+    const double headers = (ended.segments - began.segments) * segment_header_bytes;
+    const double share = size * measured_s;
+    const upkeep_cost cost{(payload + headers) / share, payload / share, 100 * cpu_s / share,
+                           (calls() - began_calls) / measured_s};
+    for (auto& host : hosts) {
+        host::stop_host(*host);
+    }
+    return cost;
+}
+
+bool measure_upkeep() {
+    std::vector<point> bytes;
+    std::vector<point> processor;
+    std::vector<point> calls;
+    std::cout
+        << "upkeep at rest: hosts, bytes/s a host with headers, payload bytes/s a host, % of a core a host, "
+           "store calls/s of the fleet\n";
+    for (const int size : fleet_sizes) {
+        const auto cost = measure_fleet(size);
+        if (!cost) {
+            std::cerr << "the fleet of " << size << " hosts did not join\n";
+            return false;
+        }
+        std::cout << fmt::format("{} {:.0f} {:.0f} {:.3f} {:.1f}", size, cost->bytes_per_s,
+                                 cost->payload_per_s, cost->cpu_percent, cost->store_calls_per_s)
+                  << std::endl;
+        bytes.push_back({static_cast<double>(size), cost->bytes_per_s});
+        processor.push_back({static_cast<double>(size), cost->cpu_percent});
+        calls.push_back({static_cast<double>(size), cost->store_calls_per_s});
+    }
+    print_fit("upkeep traffic of a host", "bytes/s", "host", bytes);
+    print_fit("upkeep processor time of a host", "% of a core", "host", processor);
+    print_fit("store calls of the fleet", "calls/s", "host", calls);
+    return true;
+}
+
+} // namespace
+
+int main() {
+    if (!common::prepare_process()) {
+        return EXIT_FAILURE;
+    }
+    common::start_log("capacity_slopes", "warn");
+    measure_catalog();
+    measure_generation();
+    return measure_upkeep() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/source/core/transport/peer_link.cpp
+++ b/source/core/transport/peer_link.cpp
@@ -269,10 +269,11 @@
     std::vector<std::uint64_t> broken;
     for (auto& [id, session] : link.sessions) {
         if (!session->broken) {
-            const bool wanted = wants_write(*session);
             write_session(*session);
-            if (wanted || wants_write(*session)) {
-                watch_fd(link, EPOLL_CTL_MOD, session->fd, id, wants_write(*session));
+            // A socket watched without need is almost always writable: epoll would return at once, for ever.
+            if (session->watches_write != wants_write(*session)) {
+                session->watches_write = !session->watches_write;
+                watch_fd(link, EPOLL_CTL_MOD, session->fd, id, session->watches_write);
             }
         }
         if (session->broken) {
--- a/source/core/transport/peer_session.h
+++ b/source/core/transport/peer_session.h
@@ -49,6 +49,8 @@
     int fd{-1};
     bool is_server{false};
     bool connecting{false};
+    /// The socket is watched for becoming writable.
+    bool watches_write{true};
     /// The connection must be closed.
     bool broken{false};
     /// Address of the other side.
--- a/source/unit_tests/transport/transport_test.cpp
+++ b/source/unit_tests/transport/transport_test.cpp
@@ -1,3 +1,6 @@
+#include <ctime>
+#include <thread>
+
 #include <doctest/doctest.h>
 #include <unistd.h>
 
@@ -94,4 +97,24 @@
     pool.stop();
 }
 
+TEST_CASE("an idle link between peers sleeps") {
+    common::worker_pool pool(1);
+    const auto echo = [](schema::byte_view message, const peer_responder& respond) {
+        respond(schema::bytes(message.begin(), message.end()));
+    };
+    auto server = start_peer_link({"127.0.0.1", 0, "s"}, pool, echo);
+    auto client = start_peer_link({"127.0.0.1", 0, "s"}, pool, echo);
+    REQUIRE(server);
+    REQUIRE(client);
+    const auto address = join_address("127.0.0.1", server->port());
+    REQUIRE(client->call_and_wait(address, schema::bytes(8), soon()));
+    const auto began = std::clock();
+    std::this_thread::sleep_for(common::milliseconds(500));
+    const double used_s = static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+    CHECK(used_s < 0.1);
+    client->stop();
+    server->stop();
+    pool.stop();
+}
+
 } // namespace lycheegap::transport
