--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -6,6 +6,7 @@
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
 #include "forward.h"
+#include "generation_upkeep.h"
 #include "leave.h"
 #include "operator_api.h"
 #include "peer_api.h"
@@ -115,7 +116,8 @@
 
 bool has_authority(host_state& host, common::time_point now) {
     const std::lock_guard guard(host.authority.mutex);
-    return membership::holds(host.authority.held, now);
+    const auto& table = host.authority;
+    return table.knows_withdrawn && !table.given_up && membership::holds(table.held, now);
 }
 
 std::unique_ptr<host_state> start_host(settings::daemon_settings settings) {
@@ -138,9 +140,9 @@
 
 void stop_host(host_state& host) {
     drain_host(host);
-    leave_generation(host);
     host.lookup_server->stop();
     host.request_server->stop();
+    leave_generation(host);
     host.operator_server->stop();
     host.peers->stop();
     host.workers->stop();
