--- a/source/lycheegapctl/command.cpp
+++ b/source/lycheegapctl/command.cpp
@@ -16,17 +16,6 @@
 using common::step;
 using schema::edit_request_t;
 
-std::optional<std::string> read_file(const std::string& file) {
-    if (file == "-") {
-        return std::string(std::istreambuf_iterator<char>(std::cin), {});
-    }
-    std::ifstream stream(file);
-    if (!stream) {
-        return fail(step::decode, file, "cannot be opened");
-    }
-    return std::string(std::istreambuf_iterator<char>(stream), {});
-}
-
 template <typename Table, typename Record>
 bool read_record(const std::string& file, std::unique_ptr<Record>& target) {
     const auto text = read_file(file);
@@ -72,7 +61,7 @@
 bool fill_key(edit_request_t& edit, const std::string& verb, const std::string& team,
               const std::string& key) {
     edit.key_team = team;
-    if (verb == "add") {
+    if (verb == "add" || verb == "set") {
         edit.add_key_digest = common::key_digest(key);
         return true;
     }
@@ -89,6 +78,7 @@
         return fill_key(edit, words[1], words[2], words[3]);
     }
     if (words.size() == 3 && words[1] == "set") {
+        edit.compare = true;
         return fill_set(edit, words[0], words[2]);
     }
     if (words.size() == 3 && words[1] == "withdraw") {
@@ -98,32 +88,100 @@
     return false;
 }
 
-} // namespace
+bool is_kind(const std::string& word) {
+    return word == "template" || word == "team" || word == "service";
+}
+
+command ask_catalog(view_kind view, const std::string& kind, const std::string& subject) {
+    return {"/v1/catalog", "", "", view, kind, subject};
+}
 
-std::optional<command> parse_command(const std::vector<std::string>& words, std::uint64_t expected_revision) {
+std::optional<command> parse_record_question(const std::vector<std::string>& words) {
+    const auto& verb = words[1];
+    if (words.size() == 2 && verb == "list") {
+        return ask_catalog(view_kind::list, words[0], "");
+    }
+    if (words.size() == 3 && verb == "show") {
+        return ask_catalog(view_kind::show, words[0], words[2]);
+    }
+    if (words.size() == 3 && verb == "diff") {
+        return ask_catalog(view_kind::diff, words[0], words[2]);
+    }
+    if (words.size() == 3 && verb == "history") {
+        return command{
+            "/v1/history", "kind=" + words[0] + "&name=" + words[2], "", view_kind::answer, "", ""};
+    }
+    return std::nullopt;
+}
+
+std::optional<command> parse_key_question(const std::vector<std::string>& words) {
+    if (words.size() == 3 && (words[1] == "list" || words[1] == "show")) {
+        return ask_catalog(view_kind::keys, "team", words[2]);
+    }
+    if (words.size() == 3 && words[1] == "history") {
+        return command{"/v1/history", "kind=team&name=" + words[2], "", view_kind::answer, "", ""};
+    }
+    return std::nullopt;
+}
+
+std::optional<command> parse_question(const std::vector<std::string>& words) {
     if (words == std::vector<std::string>{"dump"}) {
-        return command{"/v1/dump", {}};
+        return command{"/v1/dump", "", "", view_kind::answer, "", ""};
     }
     if (words == std::vector<std::string>{"metrics"}) {
-        return command{"/metrics", {}};
+        return command{"/metrics", "", "", view_kind::answer, "", ""};
     }
     if (words == std::vector<std::string>{"catalog", "show"}) {
-        return command{"/v1/catalog", {}};
+        return command{"/v1/catalog", "", "", view_kind::answer, "", ""};
+    }
+    if (words.size() == 3 && words[0] == "edit" && words[1] == "status") {
+        return command{"/v1/edit/status", "revision=" + words[2], "", view_kind::answer, "", ""};
+    }
+    if (words.size() >= 2 && is_kind(words[0])) {
+        return parse_record_question(words);
+    }
+    return words.size() >= 2 && words[0] == "key" ? parse_key_question(words) : std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string> read_file(const std::string& file) {
+    if (file == "-") {
+        return std::string(std::istreambuf_iterator<char>(std::cin), {});
+    }
+    std::ifstream stream(file);
+    if (!stream) {
+        return fail(step::decode, file, "cannot be opened");
+    }
+    return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+std::optional<command> parse_command(const std::vector<std::string>& words, const edit_options& options) {
+    if (auto question = parse_question(words)) {
+        return question;
     }
     edit_request_t edit;
-    edit.expected_revision = expected_revision;
+    edit.expected_revision = options.expected_revision;
     if (!fill_edit(edit, words)) {
         return std::nullopt;
     }
-    return command{"/v1/edit", schema::to_json<schema::edit_request>(edit)};
+    edit.compare = edit.compare && !options.force;
+    return command{"/v1/edit", "", schema::to_json<schema::edit_request>(edit), view_kind::answer, "", ""};
 }
 
 std::string usage_text() {
     return "commands:\n"
-           "  template|team|service set FILE     record a template, team or service from JSON (- reads "
-           "stdin)\n"
+           "  template|team|service list\n"
+           "  template|team|service show NAME    the record as JSON, with the revision that changed it last\n"
+           "  template|team|service diff FILE    the lines in which FILE differs from the record\n"
+           "  template|team|service set FILE     record it from JSON (- reads stdin); a conflict when the "
+           "record\n"
+           "                                     was changed since it was shown; --force records it anyhow\n"
            "  template|team|service withdraw NAME\n"
-           "  key add|withdraw TEAM KEY          only the key's digest leaves this program\n"
+           "  template|team|service history NAME the edits that the asked host remembers\n"
+           "  key list|show|history TEAM         digests of the team's keys\n"
+           "  key add|set|withdraw TEAM KEY      only the key's digest leaves this program\n"
+           "  edit status REVISION               recorded or accepted, and the hosts it waits for\n"
            "  catalog show                       the whole configuration as JSON\n"
            "  dump                               state of the asked host as JSON\n"
            "  metrics                            counters and series of the asked host\n";
--- a/source/lycheegapctl/main.cpp
+++ b/source/lycheegapctl/main.cpp
@@ -9,6 +9,7 @@
 #include "core/common/last_reason.h"
 #include "core/common/process.h"
 #include "operator_call.h"
+#include "record_view.h"
 
 namespace {
 
@@ -25,7 +26,8 @@
     described.add_options()("timeout-ms", options::value<int>()->default_value(20000),
                             "longest wait for the answer");
     described.add_options()("expected-revision", options::value<std::uint64_t>()->default_value(0),
-                            "refuse the edit when the configuration has another revision");
+                            "refuse the edit when its record was changed after this revision");
+    described.add_options()("force", "set a record also when it was changed since it was shown");
     described.add_options()("words", options::value<std::vector<std::string>>(), "the command");
     return described;
 }
@@ -47,7 +49,9 @@
 
 int run(const options::variables_map& given) {
     const auto words = given["words"].as<std::vector<std::string>>();
-    const auto parsed = lycheegap::ctl::parse_command(words, given["expected-revision"].as<std::uint64_t>());
+    const lycheegap::ctl::edit_options wanted{given["expected-revision"].as<std::uint64_t>(),
+                                              given.contains("force")};
+    const auto parsed = lycheegap::ctl::parse_command(words, wanted);
     if (!parsed) {
         return report_failure();
     }
@@ -57,10 +61,18 @@
     target.secret = secret == nullptr ? "" : secret;
     target.deadline =
         lycheegap::common::monotonic::now() + lycheegap::common::milliseconds(given["timeout-ms"].as<int>());
-    const auto answer = lycheegap::ctl::call_operator(target, parsed->path, parsed->body);
+    const auto answer = lycheegap::ctl::call_operator(target, *parsed);
     if (!answer) {
         return report_failure();
     }
+    if (answer->status == status_ok && parsed->view != lycheegap::ctl::view_kind::answer) {
+        const auto shown = lycheegap::ctl::show_records(*parsed, answer->body);
+        if (!shown) {
+            return report_failure();
+        }
+        std::cout << *shown;
+        return EXIT_SUCCESS;
+    }
     std::cout << answer->body << (answer->body.ends_with('\n') ? "" : "\n");
     return answer->status == status_ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/source/lycheegapctl/operator_call.h
+++ b/source/lycheegapctl/operator_call.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "command.h"
 #include "core/transport/http_client.h"
 
 namespace lycheegap::ctl {
@@ -17,7 +18,6 @@
 };
 
 /// GET without a body, POST with one. The reason tells why there is no answer.
-std::optional<transport::http_response> call_operator(const operator_target& target, std::string_view path,
-                                                      std::string_view body);
+std::optional<transport::http_response> call_operator(const operator_target& target, const command& asked);
 
 } // namespace lycheegap::ctl
--- a/source/unit_tests/membership/authority_search_test.cpp
+++ b/source/unit_tests/membership/authority_search_test.cpp
@@ -64,6 +64,12 @@
             found.first_breach);
 }
 
+void expect_breach(const std::string& name, rule naive) {
+    const auto found = search(naive, naive_count);
+    report(name, found);
+    CHECK_MESSAGE(found.sum.breaches > 0, name);
+}
+
 } // namespace
 
 TEST_SUITE("configuration_in_force") {
@@ -77,14 +83,10 @@
 
     TEST_CASE("the naive rules break it or refuse more") {
         const auto product = search(rule::product, naive_count);
-        for (const auto& [name, naive] :
-             {std::pair{"serve_on", rule::serve_on}, std::pair{"from_receipt", rule::from_receipt},
-              std::pair{"half_is_enough", rule::half_is_enough},
-              std::pair{"newest_members_only", rule::newest_members_only}}) {
-            const auto found = search(naive, naive_count);
-            report(name, found);
-            CHECK_MESSAGE(found.sum.breaches > 0, name);
-        }
+        expect_breach("serve_on", rule::serve_on);
+        expect_breach("from_receipt", rule::from_receipt);
+        expect_breach("half_is_enough", rule::half_is_enough);
+        expect_breach("newest_members_only", rule::newest_members_only);
         const auto closed = search(rule::fail_closed, naive_count);
         report("product, same seeds", product);
         report("fail_closed", closed);
