--- a/source/core/host/upkeep.cpp
+++ b/source/core/host/upkeep.cpp
@@ -2,6 +2,7 @@
 
 #include "heartbeats.h"
 #include "host_state.h"
+#include "outcome_table.h"
 #include "periodic.h"
 #include "store_refresh.h"
 
