--- a/source/benchmarks/capacity_slopes.cpp
+++ b/source/benchmarks/capacity_slopes.cpp
@@ -12,11 +12,14 @@
 #include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/common/log.h"
 #include "core/common/process.h"
+#include "core/execution/outcome_memory.h"
 #include "core/host/host_state.h"
 #include "core/schema/codec.h"
+#include "core/steering/lookup.h"
 #include "core/transport/record_codec.h"
 #include "decision_bench.h"
 #include "failure_tests/fleet.h"
@@ -25,15 +28,20 @@
 
 namespace bench = lycheegap::benchmarks;
 namespace common = lycheegap::common;
+namespace execution = lycheegap::execution;
 namespace failure_tests = lycheegap::failure_tests;
 namespace host = lycheegap::host;
 namespace schema = lycheegap::schema;
 namespace settings = lycheegap::settings;
+namespace steering = lycheegap::steering;
 namespace transport = lycheegap::transport;
 
 constexpr std::array catalog_sizes = {100, 200, 400, 800};
 constexpr std::array generation_sizes = {24, 100, 300, 870};
 constexpr std::array fleet_sizes = {4, 8, 12, 16, 24};
+constexpr std::array outcome_sizes = {2000, 5000, 10'000, 20'000};
+constexpr std::size_t kept_answer_bytes = 500;
+constexpr std::size_t hosts_per_answer = 4;
 constexpr double measured_s = 5;
 constexpr auto join_limit = common::milliseconds(30'000);
 constexpr int first_ip = 11;
@@ -132,6 +140,56 @@
     print_fit("generation memory", "bytes", "host", memory);
 }
 
+double resident_bytes() {
+    std::ifstream file("/proc/self/statm");
+    double whole = 0;
+    double resident = 0;
+    file >> whole >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// Memory of kept outcomes with answers of `answer_bytes`.
+void measure_outcomes() {
+    std::vector<point> memory;
+    std::cout << "outcomes: ids, heap bytes (answers of " << kept_answer_bytes << " bytes)\n";
+    for (const int ids : outcome_sizes) {
+        const double before = heap_bytes();
+        const auto now = common::time_point(common::milliseconds(1));
+        auto held = execution::make_memory(
+            1, now, {1'000'000, 1'000'000'000, 100, common::milliseconds(1000), 65'536});
+        for (int n = 0; n < ids; ++n) {
+            const execution::request_id id{execution::issue_ticket(held, 7, now),
+                                           static_cast<std::uint64_t>(n)};
+            execution::begin_request(held, id, 1, "team-1", now);
+            execution::finish_request(
+                held, id, execution::outcome_state::answered,
+                {200, {{"content-type", "application/json"}}, std::string(kept_answer_bytes, 'x')});
+        }
+        const double bytes = heap_bytes() - before;
+        std::cout << fmt::format("{} {:.0f}\n", ids, bytes);
+        memory.push_back({static_cast<double>(ids), bytes});
+    }
+    print_fit("outcome memory", "bytes", "id", memory);
+}
+
+/// Processor time of a look-up's decision.
+void measure_lookups() {
+    std::vector<point> times;
+    std::cout << "look-up order: hosts, us\n";
+    for (const int hosts : generation_sizes) {
+        const auto members = bench::make_generation(hosts, 9);
+        std::uint64_t seed = 0;
+        std::size_t found = 0;
+        const double cost = bench::cost_us([&] {
+            found +=
+                steering::order_hosts(members, {"region-3", "region-3-1"}, ++seed, hosts_per_answer).size();
+        });
+        std::cout << fmt::format("{} {:.2f}\n", hosts, found > 0 ? cost : 0);
+        times.push_back({static_cast<double>(hosts), cost});
+    }
+    print_fit("look-up order", "us", "host", times);
+}
+
 /// What moved on all TCP connections of this process. Lost with a connection that closes.
 struct traffic {
     double payload_bytes{0};
@@ -185,10 +243,12 @@
     double payload_per_s{0};
     double cpu_percent{0};
     double store_calls_per_s{0};
+    double resident_bytes{0};
 };
 
 std::optional<upkeep_cost> measure_fleet(int size) {
     const auto it = failure_tests::start_fleet({0, 0, {"region-1-1"}, "", false});
+    const double resident = resident_bytes();
     std::vector<std::unique_ptr<host::host_state>> hosts;
     for (int n = 0; it && n < size; ++n) {
         hosts.push_back(start_one(*it, n));
@@ -223,7 +283,7 @@
     const double headers = (ended.segments - began.segments) * segment_header_bytes;
     const double share = size * measured_s;
     const upkeep_cost cost{(payload + headers) / share, payload / share, 100 * cpu_s / share,
-                           (calls() - began_calls) / measured_s};
+                           (calls() - began_calls) / measured_s, (resident_bytes() - resident) / size};
     for (auto& host : hosts) {
         host::stop_host(*host);
     }
@@ -236,15 +296,16 @@
     std::vector<point> calls;
     std::cout
         << "upkeep at rest: hosts, bytes/s a host with headers, payload bytes/s a host, % of a core a host, "
-           "store calls/s of the fleet\n";
+           "store calls/s of the fleet, resident bytes a host (what an earlier fleet freed is used again)\n";
     for (const int size : fleet_sizes) {
         const auto cost = measure_fleet(size);
         if (!cost) {
             std::cerr << "the fleet of " << size << " hosts did not join\n";
             return false;
         }
-        std::cout << fmt::format("{} {:.0f} {:.0f} {:.3f} {:.1f}", size, cost->bytes_per_s,
-                                 cost->payload_per_s, cost->cpu_percent, cost->store_calls_per_s)
+        std::cout << fmt::format("{} {:.0f} {:.0f} {:.3f} {:.1f} {:.0f}", size, cost->bytes_per_s,
+                                 cost->payload_per_s, cost->cpu_percent, cost->store_calls_per_s,
+                                 cost->resident_bytes)
                   << std::endl;
         bytes.push_back({static_cast<double>(size), cost->bytes_per_s});
         processor.push_back({static_cast<double>(size), cost->cpu_percent});
@@ -265,5 +326,7 @@
     common::start_log("capacity_slopes", "warn");
     measure_catalog();
     measure_generation();
+    measure_outcomes();
+    measure_lookups();
     return measure_upkeep() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/source/core/common/metrics.cpp
+++ b/source/core/common/metrics.cpp
@@ -1,5 +1,6 @@
 #include "metrics.h"
 
+#include <cmath>
 #include <mutex>
 
 #include <fmt/format.h>
@@ -19,13 +20,25 @@
     return table.measured.emplace(std::string(name), fresh).first->second;
 }
 
+/// Numbers as the exposition format writes them.
+std::string number_text(double value) {
+    if (std::isnan(value)) {
+        return "NaN";
+    }
+    if (std::isinf(value)) {
+        return value > 0 ? "+Inf" : "-Inf";
+    }
+    return fmt::format("{}", value);
+}
+
 std::string line_of(const metric_reading& it) {
     if (it.is_counter) {
         return fmt::format("# TYPE lycheegap_{0} counter\nlycheegap_{0} {1}\n", it.name, it.count);
     }
     return fmt::format("# TYPE lycheegap_{0} summary\nlycheegap_{0}{{quantile=\"0.99\"}} {1}\n"
                        "lycheegap_{0}_sum {2}\nlycheegap_{0}_count {3}\n",
-                       it.name, it.quantile_99, it.mean * static_cast<double>(it.count), it.count);
+                       it.name, number_text(it.quantile_99),
+                       number_text(it.mean * static_cast<double>(it.count)), it.count);
 }
 
 } // namespace
