--- a/source/core/host/dump.cpp
+++ b/source/core/host/dump.cpp
@@ -21,7 +21,13 @@
         record->home = home == nullptr ? "" : home->name;
         const auto held = host.allowances.teams.find(name);
         if (held != host.allowances.teams.end()) {
-            record->tokens = held->second.bucket.tokens;
+            const auto& account = held->second.home.account;
+            record->tokens = account ? account->tokens : 0;
+            record->lent = account ? allowance::outstanding(*account) : 0;
+            record->held = allowance::held_tokens(held->second.held, common::monotonic::now());
+            record->asked = held->second.asked;
+            record->waited = held->second.waited;
+            record->unreachable = held->second.unreachable;
             record->admitted = held->second.admitted;
             record->refused = held->second.refused;
         }
--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -6,6 +6,7 @@
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
 #include "forward.h"
+#include "handover_home.h"
 #include "operator_api.h"
 #include "peer_api.h"
 #include "serve_lookup.h"
@@ -19,6 +20,8 @@
 using transport::http_request;
 using transport::http_server_options;
 
+constexpr auto handover_limit = common::milliseconds(1000);
+
 std::uint64_t seed_of(const settings::daemon_settings& settings) {
     return settings.process->seed != 0 ? settings.process->seed : common::system_random();
 }
@@ -129,6 +132,7 @@
 
 void stop_host(host_state& host) {
     leave_generation(host);
+    hand_over_all(host, common::monotonic::now() + handover_limit);
     host.lookup_server->stop();
     host.request_server->stop();
     host.operator_server->stop();
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "core/allowance/token_bucket.h"
+#include "allowance_table.h"
 #include "core/catalog/catalog.h"
 #include "core/common/metrics.h"
 #include "core/common/worker_pool.h"
@@ -45,18 +45,6 @@
     membership::authority held;
 };
 
-/// What this host holds and has counted for one team.
-struct team_allowance {
-    allowance::token_bucket bucket;
-    std::uint64_t admitted{0};
-    std::uint64_t refused{0};
-};
-
-struct allowance_table {
-    common::ranked_mutex mutex{common::lock_rank::allowance_table};
-    std::map<std::string, team_allowance, std::less<>> teams;
-};
-
 struct endpoint_table {
     common::ranked_mutex mutex{common::lock_rank::endpoint_table};
     /// By service.
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -1,11 +1,11 @@
 #include "peer_api.h"
 
-#include "core/allowance/home.h"
+#include "ask_home.h"
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
+#include "handover_home.h"
 #include "host_state.h"
 #include "inquiry.h"
-#include "spend.h"
 
 namespace lycheegap::host {
 
@@ -39,23 +39,10 @@
     return encode_message(message);
 }
 
-bool is_home(host_state& host, std::string_view team) {
-    const auto members = current_generation(host);
-    const auto* home = allowance::home_of(team, *members);
-    return home != nullptr && home->name == host.self.name && home->incarnation == host.self.incarnation;
-}
-
-schema::bytes answer_tokens(host_state& host, const schema::token_request_t& request) {
-    const auto now = common::monotonic::now();
-    const auto configuration = current_catalog(host);
-    const auto team = configuration->teams.find(request.team);
-    schema::token_answer_t answer;
-    answer.wrong_home = !is_home(host, request.team) || !has_authority(host, now);
-    if (!answer.wrong_home && team != configuration->teams.end()) {
-        answer.granted = grant_tokens(host, team->second, request.tokens, now);
-    }
+template <typename Answer>
+schema::bytes encode_answer(Answer answer) {
     schema::peer_message_t message;
-    message.body.Set(answer);
+    message.body.Set(std::move(answer));
     return encode_message(message);
 }
 
@@ -70,7 +57,10 @@
         return answer_heartbeat(host);
     }
     if (const auto* request = decoded->body.Astoken_request()) {
-        return answer_tokens(host, *request);
+        return encode_answer(answer_tokens(host, *request));
+    }
+    if (const auto* handover = decoded->body.Ashome_handover()) {
+        return encode_answer(take_handover(host, *handover));
     }
     if (const auto* question = decoded->body.Asoutcome_question()) {
         schema::peer_message_t answer;
--- /dev/null
+++ b/source/core/host/team_homes.cpp
@@ -0,0 +1,135 @@
+#include "team_homes.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+#include "ask_home.h"
+#include "core/allowance/home.h"
+#include "core/common/log.h"
+#include "handover_home.h"
+#include "host_state.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::monotonic;
+
+/// Generations that a host remembers; an older tenure counts from the oldest of them.
+constexpr std::size_t generation_limit = 16;
+
+/// All hosts that have not taken the generation by then have lost their authority.
+common::time_point acceptance_deadline(const host_state& host, const taken_generation& taken) {
+    return allowance::lender_deadline(taken.taken_at,
+                                      common::milliseconds(host.settings.authority->length));
+}
+
+void note_generation(host_state& host, const allowance_view& view, common::time_point now) {
+    auto& taken = host.allowances.generations;
+    if (view.members->number > 0 && (taken.empty() || taken.back().members->number < view.members->number)) {
+        taken.push_back({view.members, now, false, {}});
+    }
+    if (taken.size() > generation_limit) {
+        taken.erase(taken.begin());
+    }
+    for (auto& it : taken) {
+        const auto deadline = acceptance_deadline(host, it);
+        if (!it.accepted && now >= deadline) {
+            it.accepted = true;
+            it.accepted_at = deadline;
+        }
+    }
+}
+
+bool is_home_in(const host_state& host, const membership::generation& members, std::string_view team) {
+    const auto* home = allowance::home_of(team, members);
+    return home != nullptr && home->name == host.self.name && home->incarnation == host.self.incarnation;
+}
+
+std::optional<allowance::home_tenure> tenure_of(host_state& host, std::string_view team) {
+    std::vector<allowance::home_period> periods;
+    for (const auto& it : host.allowances.generations) {
+        periods.push_back(
+            {it.members->number, is_home_in(host, *it.members, team), it.accepted, it.accepted_at});
+    }
+    return allowance::find_tenure(periods);
+}
+
+/// After a time without authority other limits than the known ones may have been in force meanwhile.
+void give_up_after_lapse(team_allowance& team, const allowance_view& view, common::time_point now) {
+    const bool lapsed = now >= team.acts_until;
+    if (lapsed && team.revision != view.configuration->revision) {
+        allowance::drop_loans(team.held);
+        if (team.home.account) {
+            allowance::empty_account(*team.home.account, now);
+        }
+    }
+    team.acts_until = view.acts_until;
+    team.revision = view.configuration->revision;
+}
+
+} // namespace
+
+allowance_view read_allowance_view(host_state& host) {
+    allowance_view view;
+    view.configuration = current_catalog(host);
+    view.members = current_generation(host);
+    {
+        const std::lock_guard guard(host.authority.mutex);
+        view.acts_until = host.authority.held.deadline;
+    }
+    // A host that leaves goes by the generation without it before it has read that one.
+    const std::lock_guard guard(host.allowances.mutex);
+    const auto& taken = host.allowances.generations;
+    if (!taken.empty() && taken.back().members->number > view.members->number) {
+        view.members = taken.back().members;
+    }
+    return view;
+}
+
+allowance::team_limits limits_of(const catalog::team& team) {
+    return {team.rate, team.burst};
+}
+
+allowance::loan_policy policy_of(const host_state& host, const catalog::configuration& configuration,
+                                 const catalog::team& team) {
+    allowance::loan_policy policy;
+    policy.length = common::milliseconds(host.settings.allowance->loan_length);
+    const auto found = configuration.templates.find(team.template_name);
+    if (found != configuration.templates.end()) {
+        policy.host_share = found->second.loan_percent / 100.0;
+    }
+    return policy;
+}
+
+bool is_own_home(const host_state& host, const allowance_view& view, std::string_view team) {
+    return is_home_in(host, *view.members, team);
+}
+
+team_allowance& update_team(host_state& host, const allowance_view& view, const catalog::team& team,
+                            common::time_point now) {
+    note_generation(host, view, now);
+    auto& entry = host.allowances.teams[team.name];
+    give_up_after_lapse(entry, view, now);
+    const auto policy = policy_of(host, *view.configuration, team);
+    auto closed = allowance::follow_tenure(entry.home, tenure_of(host, team.name), limits_of(team), policy, now);
+    if (closed) {
+        send_handover(host, view, team.name, *closed, now);
+    }
+    allowance::keep_within(entry.held, limits_of(team), now);
+    return entry;
+}
+
+void keep_allowances(host_state& host) {
+    const auto view = read_allowance_view(host);
+    for (const auto& [name, team] : view.configuration->teams) {
+        {
+            const std::lock_guard guard(host.allowances.mutex);
+            update_team(host, view, team, monotonic::now());
+        }
+        ask_home_when_due(host, name);
+    }
+}
+
+} // namespace lycheegap::host
--- a/source/core/host/upkeep.cpp
+++ b/source/core/host/upkeep.cpp
@@ -10,6 +10,7 @@
 #include "host_state.h"
 #include "periodic.h"
 #include "store_keys.h"
+#include "team_homes.h"
 
 namespace lycheegap::host {
 
@@ -20,6 +21,7 @@
 using common::monotonic;
 
 constexpr int swap_attempts = 5;
+constexpr auto allowance_interval = milliseconds(100);
 constexpr milliseconds outcome_sweep_interval(1000);
 
 milliseconds authority_length(const host_state& host) {
@@ -181,6 +183,7 @@
     start_periodic(host, poll, &refresh_catalog);
     start_periodic(host, poll, &refresh_generation);
     start_periodic(host, beat, &send_heartbeats);
+    start_periodic(host, allowance_interval, &keep_allowances);
     start_periodic(host, outcome_sweep_interval, &sweep_outcomes);
 }
 
