--- a/source/benchmarks/decision_bench.cpp
+++ b/source/benchmarks/decision_bench.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 
 #include "core/allowance/home.h"
-#include "core/allowance/token_bucket.h"
+#include "core/allowance/home_account.h"
 #include "core/common/digest.h"
 #include "core/schema/codec.h"
 #include "core/schema/generated/peer_generated.h"
@@ -52,10 +52,10 @@
 
 double bucket_us() {
     auto now = common::time_point(common::milliseconds(1));
-    auto bucket = allowance::make_empty_bucket(1e6, 100, now);
+    auto account = allowance::open_account({1e6, 100}, {}, {1, 1, now}, now);
     return cost_us([&] {
         now += common::milliseconds(1);
-        keep(allowance::take(bucket, 1, now));
+        keep(allowance::take_own(account, now));
     });
 }
 
--- a/source/core/host/team_homes.cpp
+++ b/source/core/host/team_homes.cpp
@@ -19,12 +19,6 @@
 /// Generations that a host remembers; an older tenure counts from the oldest of them.
 constexpr std::size_t generation_limit = 16;
 
-/// All hosts that have not taken the generation by then have lost their authority.
-common::time_point acceptance_deadline(const host_state& host, const taken_generation& taken) {
-    return allowance::lender_deadline(taken.taken_at,
-                                      common::milliseconds(host.settings.authority->length));
-}
-
 void note_generation(host_state& host, const allowance_view& view, common::time_point now) {
     auto& taken = host.allowances.generations;
     if (view.members->number > 0 && (taken.empty() || taken.back().members->number < view.members->number)) {
@@ -34,10 +28,9 @@
         taken.erase(taken.begin());
     }
     for (auto& it : taken) {
-        const auto deadline = acceptance_deadline(host, it);
-        if (!it.accepted && now >= deadline) {
+        if (!it.accepted && it.members->number <= view.accepted) {
             it.accepted = true;
-            it.accepted_at = deadline;
+            it.accepted_at = now;
         }
     }
 }
@@ -75,6 +68,10 @@
     allowance_view view;
     view.configuration = current_catalog(host);
     view.members = current_generation(host);
+    {
+        const std::lock_guard guard(host.control.mutex);
+        view.accepted = host.control.accepted ? host.control.accepted->members.number : 0;
+    }
     {
         const std::lock_guard guard(host.authority.mutex);
         view.acts_until = host.authority.held.deadline;
--- a/source/core/host/team_homes.h
+++ b/source/core/host/team_homes.h
@@ -16,6 +16,8 @@
     std::shared_ptr<const catalog::configuration> configuration;
     std::shared_ptr<const membership::generation> members;
     common::time_point acts_until;
+    /// Newest generation that is known to be accepted.
+    std::uint64_t accepted{0};
 };
 
 /// Reads catalog, generation and authority.
