--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -7,6 +7,7 @@
 #include "core/transport/listen_socket.h"
 #include "forward.h"
 #include "generation_upkeep.h"
+#include "handover_home.h"
 #include "leave.h"
 #include "operator_api.h"
 #include "peer_api.h"
@@ -21,6 +22,8 @@
 using transport::http_request;
 using transport::http_server_options;
 
+constexpr auto handover_limit = common::milliseconds(1000);
+
 std::uint64_t seed_of(const settings::daemon_settings& settings) {
     return settings.process->seed != 0 ? settings.process->seed : common::system_random();
 }
@@ -143,6 +146,7 @@
     host.lookup_server->stop();
     host.request_server->stop();
     leave_generation(host);
+    hand_over_all(host, common::monotonic::now() + handover_limit);
     host.operator_server->stop();
     host.peers->stop();
     host.workers->stop();
--- a/source/core/host/upkeep.cpp
+++ b/source/core/host/upkeep.cpp
@@ -5,11 +5,13 @@
 #include "outcome_table.h"
 #include "periodic.h"
 #include "store_refresh.h"
+#include "team_homes.h"
 
 namespace lycheegap::host {
 
 namespace {
 
+constexpr common::milliseconds allowance_interval(100);
 constexpr common::milliseconds outcome_sweep_interval(1000);
 
 } // namespace
@@ -17,6 +19,7 @@
 void start_upkeep(host_state& host) {
     start_store_refresh(host);
     start_periodic(host, common::milliseconds(host.settings.peers->heartbeat_interval), &send_heartbeats);
+    start_periodic(host, allowance_interval, &keep_allowances);
     start_periodic(host, outcome_sweep_interval, &sweep_outcomes);
 }
 
