--- a/source/core/host/heartbeats.cpp
+++ b/source/core/host/heartbeats.cpp
@@ -205,6 +205,7 @@
     }
     const std::lock_guard guard(host.control.mutex);
     note_confirmation(host, host.self.name, host.self.incarnation, host.control.current->version);
+    open_when_known(host);
 }
 
 schema::bytes answer_heartbeat(host_state& host, const schema::heartbeat_t& beat) {
--- a/source/core/host/withdrawn_keys.cpp
+++ b/source/core/host/withdrawn_keys.cpp
@@ -15,6 +15,8 @@
 using common::milliseconds;
 using common::monotonic;
 
+/// A host that has joined waits this many lengths of an authority for other members' withdrawn keys.
+constexpr int patience_lengths = 2;
 constexpr auto exchange_timeout = milliseconds(1000);
 
 std::vector<std::string> held_digests(host_state& host) {
@@ -82,8 +84,19 @@
     auto& table = host.control;
     table.withdrawn_hashes.insert_or_assign(std::string(name), hash);
     table.changed.notify_all();
+    open_when_known(host);
+}
+
+void open_when_known(host_state& host) {
+    const auto& table = host.control;
+    if (table.joined_at == common::time_point()) {
+        return;
+    }
     const auto others = std::max<std::size_t>(table.current->members.members.size(), 1) - 1;
-    if (agreeing_members(host, withdrawn_hash(host)) * 2 >= others) {
+    const bool agreed = agreeing_members(host, withdrawn_hash(host)) * 2 >= others;
+    // Members that are gone must not keep a host closed for ever.
+    const auto patience = authority_length(host) * patience_lengths;
+    if (agreed || monotonic::now() - table.joined_at > patience) {
         const std::lock_guard guard(host.authority.mutex);
         host.authority.knows_withdrawn = true;
     }
--- a/source/core/host/withdrawn_keys.h
+++ b/source/core/host/withdrawn_keys.h
@@ -18,10 +18,12 @@
 /// lock.
 std::uint64_t withdrawn_hash(const host_state& host);
 
-/// Notes the hash that another host told; opens keyed routes once enough hold the same digests. The caller
-/// holds the control table's lock.
+/// Notes the hash that another host told. The caller holds the control table's lock.
 void note_withdrawn_hash(host_state& host, std::string_view name, std::uint64_t hash);
 
+/// Opens keyed routes once enough members hold the same digests. The caller holds the control table's lock.
+void open_when_known(host_state& host);
+
 /// Puts the withdrawal of keys in force here at once.
 void add_withdrawn(host_state& host, std::span<const std::string> digests);
 
--- a/source/failure_tests/configuration_in_force_test.cpp
+++ b/source/failure_tests/configuration_in_force_test.cpp
@@ -92,6 +92,11 @@
         }
     }
 
+    TEST_CASE("a single host serves") {
+        const auto it = start_serving(1, false);
+        CHECK(contains(edit(*it, it->hosts[0], team_edit(50'000)), "\"accepted\""));
+    }
+
     TEST_CASE("with the store down hosts serve on past their authority's length and record no edit") {
         const auto it = start_serving(3, false);
         set_store(*it, "outage=1");
