--- a/source/benchmarks/capacity_slopes.cpp
+++ b/source/benchmarks/capacity_slopes.cpp
@@ -222,7 +222,8 @@
 std::unique_ptr<host::host_state> start_one(const failure_tests::fleet& it, int n) {
     const auto text =
         fmt::format("[host]\nname = host-{0}\naddress = {1}.{2}\nregion = region-{3}\n"
-                    "failure_domain = region-{3}-{4}\n[operators]\nsecret = o\n[peers]\nsecret = p\n"
+                    "failure_domain = region-{3}-{4}\n[callers]\ndrain_time = 0\n[operators]\nsecret = "
+                    "o\n[peers]\nsecret = p\n"
                     "[store]\naddress = {5}\n",
                     n + 1, it.network, first_ip + n, n % 3 + 1, n / 3 % 2 + 1, it.store_address);
     auto parsed = settings::parse_settings(text, "host.ini");
--- a/source/fuzz_tests/peer_message_test.cpp
+++ b/source/fuzz_tests/peer_message_test.cpp
@@ -14,10 +14,11 @@
 
 /// A host whose store gives no answer.
 std::unique_ptr<host::host_state> start_lonely_host() {
-    auto parsed = settings::parse_settings("[host]\nname = host-1\naddress = 127.0.0.1\nregion = vestkyst\n"
-                                           "failure_domain = vestkyst-1\n[operators]\nsecret = o\n"
-                                           "[peers]\nsecret = p\n[store]\naddress = 127.0.0.1:1\n",
-                                           "lonely.ini");
+    auto parsed = settings::parse_settings(
+        "[host]\nname = host-1\naddress = 127.0.0.1\nregion = vestkyst\n"
+        "failure_domain = vestkyst-1\n[callers]\ndrain_time = 0\n[operators]\nsecret = o\n"
+        "[peers]\nsecret = p\n[store]\naddress = 127.0.0.1:1\n",
+        "lonely.ini");
     REQUIRE(parsed);
     return host::start_host(std::move(*parsed));
 }
--- a/source/unit_tests/host/dump_test.cpp
+++ b/source/unit_tests/host/dump_test.cpp
@@ -23,11 +23,11 @@
 
 /// A host whose store gives no answer.
 std::unique_ptr<host_state> start_lonely_host() {
-    const auto text =
-        fmt::format("[host]\nname = host-1\naddress = 127.0.0.1\nregion = vestkyst\n"
-                    "failure_domain = vestkyst-1\n[operators]\nsecret = {}\n[peers]\nsecret = {}\n"
-                    "[store]\naddress = 127.0.0.1:1\n[process]\nlog_level = error\n",
-                    secret, peer_secret);
+    const auto text = fmt::format("[host]\nname = host-1\naddress = 127.0.0.1\nregion = vestkyst\n"
+                                  "failure_domain = vestkyst-1\n[callers]\ndrain_time = "
+                                  "0\n[operators]\nsecret = {}\n[peers]\nsecret = {}\n"
+                                  "[store]\naddress = 127.0.0.1:1\n[process]\nlog_level = error\n",
+                                  secret, peer_secret);
     auto parsed = settings::parse_settings(text, "lonely.ini");
     return parsed ? start_host(std::move(*parsed)) : nullptr;
 }
