--- a/source/core/host/control_write.cpp
+++ b/source/core/host/control_write.cpp
@@ -49,7 +49,8 @@
         table.word_version = version;
         table.word_asked_at = std::max(table.word_asked_at, asked_at);
     }
-    if (version <= table.current->version) {
+    // An older version than the one held is no word about it.
+    if (version == table.current->version && version != 0) {
         extend_by_word(host, asked_at);
     }
 }
--- a/source/core/transport/http_server.cpp
+++ b/source/core/transport/http_server.cpp
@@ -97,6 +97,8 @@
 }
 
 void fill_response(_u_response& out, const http_response& answer) {
+    // The call below does nothing for an empty body.
+    out.status = answer.status;
     ulfius_set_binary_body_response(&out, static_cast<unsigned int>(answer.status), answer.body.data(),
                                     answer.body.size());
     put_headers(*out.map_header, answer.headers);
