--- a/source/core/allowance/borrower_account.h
+++ b/source/core/allowance/borrower_account.h
@@ -71,8 +71,8 @@
 /// Drops loans past their deadline and cuts them in proportion to a smaller burst.
 void keep_within(borrower_account& account, const team_limits& limits, common::time_point now);
 
-/// Gives up all loans. To be called when this host may have had no authority for a while: limits may have been
-/// lower and higher again since, and the loans would not be cut to them.
+/// Gives up all loans. To be called when this host may have had no authority for a while: limits may have
+/// been lower and higher again since, and the loans would not be cut to them.
 void drop_loans(borrower_account& account);
 
 /// Whether to ask now: requests wait, the stock is low, or loans end soon.
--- a/source/core/allowance/home_account.cpp
+++ b/source/core/allowance/home_account.cpp
@@ -61,10 +61,9 @@
                                   const loan_request& request, common::time_point now) {
     std::vector<std::uint64_t> renewed;
     for (const auto& report : request.reports) {
-        const auto found =
-            std::find_if(account.loans.begin(), account.loans.end(), [&](const lent_loan& it) {
-                return it.id == report.id && it.borrower == request.borrower;
-            });
+        const auto found = std::find_if(account.loans.begin(), account.loans.end(), [&](const lent_loan& it) {
+            return it.id == report.id && it.borrower == request.borrower;
+        });
         if (found == account.loans.end()) {
             continue;
         }
--- a/source/core/execution/caller_key.cpp
+++ b/source/core/execution/caller_key.cpp
@@ -8,12 +8,10 @@
 namespace {
 
 std::string_view trimmed(std::string_view text) {
-    while (text.starts_with(' ')) {
-        text.remove_prefix(1);
-    }
-    while (text.ends_with(' ')) {
-        text.remove_suffix(1);
-    }
+    // Endpoints trim tabs, too.
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    text.remove_suffix(text.size() - std::min(text.find_last_not_of(blanks) + 1, text.size()));
     return text;
 }
 
@@ -48,8 +46,12 @@
     const std::string whole(text);
     bool found = false;
     std::string kept;
+    char separator = separators.front();
+    char next_separator = separator;
     while (!text.empty()) {
-        const auto end = std::min(text.find(separator), text.size());
+        separator = next_separator;
+        const auto end = std::min(text.find_first_of(separators), text.size());
+        next_separator = end < text.size() ? text[end] : separator;
         const auto part = text.substr(0, end);
         text.remove_prefix(std::min(end + 1, text.size()));
         const auto equals = std::min(part.find('='), part.size());
@@ -86,7 +88,7 @@
         if (!same_name(it.name, "cookie")) {
             return false;
         }
-        const auto kept = without_part(it.value, ';', key_cookie, value);
+        const auto kept = without_part(it.value, ";", key_cookie, value);
         const bool emptied = kept.empty() && !it.value.empty();
         it.value = kept;
         return emptied;
@@ -101,13 +103,25 @@
     return value;
 }
 
+/// A page that was itself asked for with a key in its query names the key in the next request's referrer.
+bool refers_to_key(const header& it) {
+    if (!same_name(it.name, "referer")) {
+        return false;
+    }
+    auto text = percent_decoded(it.value);
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text.find(key_parameter) != std::string::npos;
+}
+
 } // namespace
 
 std::optional<std::string> take_key(request_head& head) {
     auto from_header = take_from_headers(head.headers);
     std::optional<std::string> from_query;
-    head.query = without_part(head.query, '&', key_parameter, from_query);
+    head.query = without_part(head.query, "&;", key_parameter, from_query);
     auto from_cookie = take_from_cookies(head.headers);
+    std::erase_if(head.headers, &refers_to_key);
     if (from_header) {
         return from_header;
     }
--- a/source/core/host/handover_home.cpp
+++ b/source/core/host/handover_home.cpp
@@ -45,7 +45,8 @@
     state.burst = message.burst;
     for (const auto& it : message.loans) {
         const auto deadline = allowance::lender_deadline(now, common::milliseconds(it->left));
-        state.loans.push_back({it->id, it->borrower, it->tokens, it->spent, it->returned, deadline, it->worth});
+        state.loans.push_back(
+            {it->id, it->borrower, it->tokens, it->spent, it->returned, deadline, it->worth});
     }
     return state;
 }
--- a/source/core/host/team_homes.cpp
+++ b/source/core/host/team_homes.cpp
@@ -110,7 +110,8 @@
     auto& entry = host.allowances.teams[team.name];
     give_up_after_lapse(entry, view, now);
     const auto policy = policy_of(host, *view.configuration, team);
-    auto closed = allowance::follow_tenure(entry.home, tenure_of(host, team.name), limits_of(team), policy, now);
+    auto closed =
+        allowance::follow_tenure(entry.home, tenure_of(host, team.name), limits_of(team), policy, now);
     if (closed) {
         send_handover(host, view, team.name, *closed, now);
     }
--- a/source/core/host/upkeep.cpp
+++ b/source/core/host/upkeep.cpp
@@ -4,8 +4,8 @@
 #include "host_state.h"
 #include "outcome_table.h"
 #include "periodic.h"
-#include "team_homes.h"
 #include "store_refresh.h"
+#include "team_homes.h"
 
 namespace lycheegap::host {
 
--- a/source/failure_tests/fleet_rate_test.cpp
+++ b/source/failure_tests/fleet_rate_test.cpp
@@ -106,15 +106,14 @@
     if (!it || !set_up_teams(*it, {"kite"}, rate, burst)) {
         return nullptr;
     }
-    const bool served =
-        wait_until(milliseconds(15'000), [&] { return is_served(*it, it->hosts[0]); });
+    const bool served = wait_until(milliseconds(15'000), [&] { return is_served(*it, it->hosts[0]); });
     return served ? std::move(it) : nullptr;
 }
 
 void check_rate(const tally& result, double least_admitted) {
     const double above = most_above(result.admitted);
-    MESSAGE(result.admitted.size() << " admitted, " << result.refused << " refused, most above burst + rate x t: "
-                                   << above);
+    MESSAGE(result.admitted.size() << " admitted, " << result.refused
+                                   << " refused, most above burst + rate x t: " << above);
     CHECK(above <= 0);
     CHECK(static_cast<double>(result.admitted.size()) >= least_admitted);
 }
--- a/source/unit_tests/allowance/fleet_model.cpp
+++ b/source/unit_tests/allowance/fleet_model.cpp
@@ -28,7 +28,6 @@
     question_end,
     handover,
     pause,
-    wake,
     die,
     record,
     learn,
@@ -208,7 +207,8 @@
     auto& host = it.hosts[index];
     const bool had = host.home.account.has_value();
     const auto now = clock_of(host, it.now);
-    auto closed = follow_tenure(host.home, find_tenure(host.periods), limits_of(it, host), it.options.policy, now);
+    auto closed =
+        follow_tenure(host.home, find_tenure(host.periods), limits_of(it, host), it.options.policy, now);
     if (!had && host.home.account && it.options.how == method::full_after_move && host.known > 1) {
         host.home.account->unknown = 0;
         host.home.account->tokens = host.home.account->limits.burst;
@@ -400,7 +400,8 @@
     target.accepted = true;
     set_audit_limits(it);
     for (std::size_t n = 0; n < it.hosts.size(); ++n) {
-        schedule(it, it.now + uniform(it, 0.001, 0.12), event_kind::told_accepted, static_cast<int>(n), number);
+        schedule(it, it.now + uniform(it, 0.001, 0.12), event_kind::told_accepted, static_cast<int>(n),
+                 number);
     }
 }
 
@@ -416,8 +417,7 @@
         }
     }
     host.known = number;
-    host.periods.push_back(
-        {number, generation(it, number).home == index, false, clock_of(host, it.now)});
+    host.periods.push_back({number, generation(it, number).home == index, false, clock_of(host, it.now)});
     follow(it, index);
     keep_within(host.held, limits_of(it, host), clock_of(host, it.now));
     accept_when_known(it, number);
@@ -497,14 +497,16 @@
         return true;
     }
     if (it.now < host.paused_until) {
-        schedule(it, host.paused_until, next.kind, next.host, next.value);
+        // One that was put off must not plan the next request again.
+        const bool is_arrival = next.kind == event_kind::arrival;
+        schedule(it, host.paused_until, next.kind, next.host, is_arrival ? 1 : next.value);
         return true;
     }
     return false;
 }
 
 void handle(fleet_state& it, const event& next) {
-    if (next.kind == event_kind::arrival) {
+    if (next.kind == event_kind::arrival && next.value == 0) {
         plan_arrival(it);
     }
     if (is_put_off(it, next)) {
@@ -526,8 +528,6 @@
     case event_kind::pause:
         it.hosts[next.host].paused_until = it.now + it.options.pause_length * uniform(it, 0.1, 2);
         return;
-    case event_kind::wake:
-        return;
     case event_kind::die:
         return on_die(it, next.host);
     case event_kind::record:
--- a/source/unit_tests/allowance/fleet_rate_test.cpp
+++ b/source/unit_tests/allowance/fleet_rate_test.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::uint64_t search_seed = 20'240'411;
-constexpr int search_histories = 100'000;
-constexpr int naive_histories = 2'000;
+constexpr int search_histories = 300'000;
+constexpr int naive_histories = 10'000;
 constexpr int search_threads = 8;
 /// Rounding of the sums of fractions, in tokens.
 constexpr double rounding = 1e-6;
