--- a/source/core/execution/caller_key.cpp
+++ b/source/core/execution/caller_key.cpp
@@ -41,7 +41,7 @@
 
 /// Removes the parts named `name` from text of the form a=1<separator>b=2 and keeps the first one's value.
 /// Text without such a part stays as it is.
-std::string without_part(std::string_view text, char separator, std::string_view name,
+std::string without_part(std::string_view text, std::string_view separators, std::string_view name,
                          std::optional<std::string>& value) {
     const std::string whole(text);
     bool found = false;
--- a/source/core/transport/store_client.cpp
+++ b/source/core/transport/store_client.cpp
@@ -45,7 +45,8 @@
     if (result.response->status == status_absent) {
         return store_value{0, {}, asked_at};
     }
-    if (result.response->status != status_ok) {
+    const bool has_revision = !execution::find_header(result.response->headers, "x-revision").empty();
+    if (result.response->status != status_ok || !has_revision) {
         return common::fail(common::step::store_read, store.address,
                             fmt::format("status {}", result.response->status));
     }
