--- a/source/unit_tests/allowance/in_rate_refusals_test.cpp
+++ b/source/unit_tests/allowance/in_rate_refusals_test.cpp
@@ -30,7 +30,8 @@
 }
 
 void print_row(const std::string& name, const history_result& it) {
-    std::printf("%-28s refused %7.3f%%  waited %5.1f%%  mean wait %4.0f ms  most %4.0f ms  messages per request %.1f\n",
+    std::printf("%-28s refused %7.3f%%  waited %5.1f%%  mean wait %4.0f ms  most %4.0f ms  messages per "
+                "request %.1f\n",
                 name.c_str(), refused_percent(it), 100.0 * it.waited / it.requests,
                 it.waited > 0 ? 1000 * it.wait_sum / it.waited : 0.0, 1000 * it.wait_most,
                 static_cast<double>(it.messages) / it.requests);
@@ -62,7 +63,8 @@
 
     TEST_CASE("in-rate refusals above those of one ideal bucket: under 1% at burst 10") {
         CHECK(excess_of(10, 10) < 1);
-        // At these rates the tokens on their way between regions are a great part of the burst: printed, no bound.
+        // At these rates the tokens on their way between regions are a great part of the burst: printed, no
+        // bound.
         for (const double rate : {20.0, 50.0, 100.0}) {
             excess_of(rate, 10);
         }
--- a/source/unit_tests/execution/key_privacy_test.cpp
+++ b/source/unit_tests/execution/key_privacy_test.cpp
@@ -55,13 +55,14 @@
     }
     head.query = "spot=klitmoller";
     for (auto n = random() % 4; n > 0; --n) {
-        head.query += (random() % 2 == 0 ? "&" : ";") + escaped(random, random_case(random, key_parameter)) + "=" + escaped(random, secret);
+        head.query += (random() % 2 == 0 ? "&" : ";") + escaped(random, random_case(random, key_parameter)) +
+                      "=" + escaped(random, secret);
     }
     for (auto n = random() % 3; n > 0; --n) {
-        head.headers.push_back({random_case(random, "cookie"),
-                                "a=1;" + random_blank(random) + random_case(random, key_cookie) +
-                                    random_blank(random) + "=" + random_blank(random) + std::string(secret) +
-                                    "; b=2"});
+        head.headers.push_back(
+            {random_case(random, "cookie"), "a=1;" + random_blank(random) + random_case(random, key_cookie) +
+                                                random_blank(random) + "=" + random_blank(random) +
+                                                std::string(secret) + "; b=2"});
     }
     if (random() % 4 == 0) {
         head.headers.push_back({random_case(random, "referer"), "http://a/?Team_Key=" + std::string(secret)});
