--- a/source/unit_tests/allowance/fleet_model.cpp
+++ b/source/unit_tests/allowance/fleet_model.cpp
@@ -28,7 +28,6 @@
     question_end,
     handover,
     pause,
-    wake,
     die,
     record,
     learn,
@@ -498,14 +497,16 @@
         return true;
     }
     if (it.now < host.paused_until) {
-        schedule(it, host.paused_until, next.kind, next.host, next.value);
+        // One that was put off must not plan the next request again.
+        const bool is_arrival = next.kind == event_kind::arrival;
+        schedule(it, host.paused_until, next.kind, next.host, is_arrival ? 1 : next.value);
         return true;
     }
     return false;
 }
 
 void handle(fleet_state& it, const event& next) {
-    if (next.kind == event_kind::arrival) {
+    if (next.kind == event_kind::arrival && next.value == 0) {
         plan_arrival(it);
     }
     if (is_put_off(it, next)) {
@@ -527,8 +528,6 @@
     case event_kind::pause:
         it.hosts[next.host].paused_until = it.now + it.options.pause_length * uniform(it, 0.1, 2);
         return;
-    case event_kind::wake:
-        return;
     case event_kind::die:
         return on_die(it, next.host);
     case event_kind::record:
