Answer look-ups from prepared JSON by block, team and place

Cause: reflection JSON and a sort for each look-up. Now a book of answers is made once for each generation and catalog; only expiry and ticket are filled in. Client blocks map by sorted ranges under an index of the high 16 bits. Answers keep one host outside the nearest failure domain and one outside its region.

--- /dev/null
+++ b/source/benchmarks/lookup_benchmark.cpp
@@ -0,0 +1,243 @@
+// Processor time of a look-up beside that of an empty reply by the same HTTP library in the same run, and the
+// answers lost at ten times the rate that one node has to serve.
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <ctime>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/common/clock.h"
+#include "core/host/host_state.h"
+#include "core/host/serve_lookup.h"
+
+namespace {
+
+namespace host = lycheegap::host;
+namespace membership = lycheegap::membership;
+namespace steering = lycheegap::steering;
+namespace transport = lycheegap::transport;
+using lycheegap::common::milliseconds;
+using lycheegap::common::monotonic;
+
+constexpr int server_workers = 4;
+constexpr int clients = 4;
+constexpr int rounds = 15;
+constexpr int requests_per_round = 4000;
+constexpr int target_per_second = 816;
+constexpr int burst_factor = 10;
+constexpr int members = 24;
+constexpr int blocks = 1'000'000;
+constexpr int sites = 220;
+constexpr double greatest_ratio = 1.10;
+
+double seconds_of(clockid_t clock) {
+    timespec now{};
+    clock_gettime(clock, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
+}
+
+void fill_members(host::host_state& state) {
+    membership::generation current;
+    for (int n = 0; n < members; ++n) {
+        membership::member it;
+        it.name = fmt::format("host-{}", n);
+        it.region = fmt::format("region-{}", n % 3);
+        it.failure_domain = fmt::format("{}-{}", it.region, n / 3 % 2);
+        it.request_address = fmt::format("10.0.0.{}:7002", n + 1);
+        current = membership::with_member(current, it);
+    }
+    state.membership.current = std::make_shared<const membership::generation>(std::move(current));
+}
+
+void fill_blocks(host::host_state& state) {
+    std::mt19937_64 random(1);
+    host::client_blocks all;
+    for (int n = 0; n < sites; ++n) {
+        all.sites.push_back(
+            {fmt::format("site-{}", n), fmt::format("region-{}", n % 3), fmt::format("region-{}-0", n % 3)});
+    }
+    std::vector<steering::client_block> list;
+    list.reserve(blocks + 1);
+    for (int n = 0; n < blocks; ++n) {
+        list.push_back({static_cast<std::uint32_t>(random()), static_cast<std::uint8_t>(16 + random() % 9),
+                        static_cast<steering::site_number>(random() % sites)});
+    }
+    list.push_back({0x7f000000, 8, 1});
+    all.map = steering::make_block_map(list);
+    state.lookups.blocks = std::make_shared<const host::client_blocks>(std::move(all));
+}
+
+std::optional<transport::http_server> serve(transport::http_handler handler) {
+    transport::http_server_options options;
+    options.address = "127.0.0.1";
+    options.workers = server_workers;
+    return transport::start_http_server(options, std::move(handler));
+}
+
+int connect_to(int port) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        close(fd);
+        return -1;
+    }
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    return fd;
+}
+
+/// One request on a kept connection; whether its whole answer came.
+bool ask(int fd) {
+    constexpr std::string_view request =
+        "GET /v1/lookup?team=kite&region=region-1 HTTP/1.1\r\nhost: a\r\n\r\n";
+    if (send(fd, request.data(), request.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(request.size())) {
+        return false;
+    }
+    std::array<char, 4096> buf{};
+    std::string text;
+    while (true) {
+        const auto n = recv(fd, buf.data(), buf.size(), 0);
+        if (n <= 0) {
+            return false;
+        }
+        text.append(buf.data(), static_cast<std::size_t>(n));
+        const auto head = text.find("\r\n\r\n");
+        const auto length = text.find("Content-Length: ");
+        if (head != std::string::npos && length != std::string::npos) {
+            const auto body = std::strtoul(text.c_str() + length + 16, nullptr, 10);
+            if (text.size() >= head + 4 + body) {
+                return text.starts_with("HTTP/1.1 200");
+            }
+        }
+    }
+}
+
+struct client_result {
+    double processor_s{0};
+    int answered{0};
+    double worst_ms{0};
+};
+
+/// Asks `n` times, at the given interval or, when that is zero, one after the other.
+client_result run_client(int port, int n, std::chrono::nanoseconds interval) {
+    client_result result;
+    const int fd = connect_to(port);
+    const auto began_at = monotonic::now();
+    for (int it = 0; it < n; ++it) {
+        const auto due = began_at + it * interval;
+        std::this_thread::sleep_until(due);
+        result.answered += ask(fd) ? 1 : 0;
+        const auto late = std::chrono::duration<double, std::milli>(monotonic::now() - due).count();
+        result.worst_ms = std::max(result.worst_ms, late);
+    }
+    close(fd);
+    result.processor_s = seconds_of(CLOCK_THREAD_CPUTIME_ID);
+    return result;
+}
+
+std::vector<client_result> run_clients(int port, int count, int n, std::chrono::nanoseconds interval) {
+    std::vector<client_result> results(static_cast<std::size_t>(count));
+    std::vector<std::thread> threads;
+    threads.reserve(results.size());
+    for (auto& it : results) {
+        threads.emplace_back([&it, port, n, interval] { it = run_client(port, n, interval); });
+    }
+    for (auto& it : threads) {
+        it.join();
+    }
+    return results;
+}
+
+/// Processor time of the server for one request, in µs: that of the process less that of the clients.
+double server_cost_us(int port) {
+    const auto before = seconds_of(CLOCK_PROCESS_CPUTIME_ID);
+    const auto results =
+        run_clients(port, clients, requests_per_round / clients, std::chrono::nanoseconds(0));
+    auto spent = seconds_of(CLOCK_PROCESS_CPUTIME_ID) - before;
+    for (const auto& it : results) {
+        spent -= it.processor_s;
+    }
+    return spent * 1e6 / requests_per_round;
+}
+
+double median_of(std::vector<double> values) {
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+/// Time of the look-up alone, without the HTTP library, in µs.
+double handler_cost_us(host::host_state& state) {
+    constexpr int calls = 100'000;
+    transport::http_request request;
+    request.head.path = "/v1/lookup";
+    request.head.query = "team=kite&region=region-1";
+    request.peer = "127.0.0.1";
+    const auto before = seconds_of(CLOCK_THREAD_CPUTIME_ID);
+    std::size_t bytes = 0;
+    for (int n = 0; n < calls; ++n) {
+        bytes += serve_lookup(state, request).body.size();
+    }
+    const auto spent = seconds_of(CLOCK_THREAD_CPUTIME_ID) - before;
+    fmt::print("body_bytes={}\n", bytes / calls);
+    return spent * 1e6 / calls;
+}
+
+/// One second at ten times the node's rate over as many connections as keep up with it.
+bool survives_burst(int port) {
+    constexpr int connections = 48;
+    constexpr int per_connection = target_per_second * burst_factor / connections;
+    const auto interval = std::chrono::nanoseconds(std::chrono::seconds(1)) / per_connection;
+    const auto began_at = monotonic::now();
+    const auto results = run_clients(port, connections, per_connection, interval);
+    const auto took = std::chrono::duration<double>(monotonic::now() - began_at).count();
+    int answered = 0;
+    double worst_ms = 0;
+    for (const auto& it : results) {
+        answered += it.answered;
+        worst_ms = std::max(worst_ms, it.worst_ms);
+    }
+    fmt::print("burst: asked={} answered={} seconds={:.3f} worst_ms={:.1f}\n", per_connection * connections,
+               answered, took, worst_ms);
+    return answered == per_connection * connections;
+}
+
+} // namespace
+
+int main() {
+    host::host_state state;
+    fill_members(state);
+    fill_blocks(state);
+    const auto empty = serve([](const transport::http_request&) { return transport::http_response{}; });
+    const auto lookup = serve([&](const transport::http_request& it) { return serve_lookup(state, it); });
+    if (!empty || !lookup) {
+        return EXIT_FAILURE;
+    }
+    std::vector<double> empty_us;
+    std::vector<double> lookup_us;
+    std::vector<double> ratios;
+    server_cost_us(empty->port());
+    server_cost_us(lookup->port());
+    for (int n = 0; n < rounds; ++n) {
+        empty_us.push_back(server_cost_us(empty->port()));
+        lookup_us.push_back(server_cost_us(lookup->port()));
+        ratios.push_back(lookup_us.back() / empty_us.back());
+    }
+    const auto ratio = median_of(ratios);
+    fmt::print("empty_us={:.2f} lookup_us={:.2f} ratio={:.3f} bound={:.2f}\n", median_of(empty_us),
+               median_of(lookup_us), ratio, greatest_ratio);
+    fmt::print("handler_us={:.2f}\n", handler_cost_us(state));
+    const bool whole = survives_burst(lookup->port());
+    return whole && ratio <= greatest_ratio ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -11,6 +11,8 @@
     catalog_table = 10,
     membership_table = 20,
     authority_table = 30,
+    /// host: prepared answers to look-ups and client blocks.
+    lookup_table = 35,
     /// host: buckets and loans of teams.
     allowance_table = 40,
     /// host: queues of waiting requests.
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -17,6 +17,7 @@
 #include "core/transport/http_server.h"
 #include "core/transport/peer_link.h"
 #include "core/transport/store_client.h"
+#include "lookup_table.h"
 
 namespace lycheegap::host {
 
@@ -74,6 +75,7 @@
     authority_table authority;
     allowance_table allowances;
     endpoint_table endpoints;
+    lookup_table lookups;
     transport::connection_pool endpoint_connections;
     transport::connection_pool store_connections;
     transport::store_client store;
--- a/source/core/host/serve_lookup.cpp
+++ b/source/core/host/serve_lookup.cpp
@@ -1,26 +1,71 @@
 #include "serve_lookup.h"
 
+#include <mutex>
+
+#include <fmt/format.h>
+
 #include "core/common/digest.h"
-#include "core/schema/codec.h"
-#include "core/schema/generated/callers_generated.h"
-#include "core/steering/lookup.h"
+#include "core/transport/lookup_codec.h"
 #include "host_state.h"
 
 namespace lycheegap::host {
 
 namespace {
 
-constexpr std::size_t hosts_per_answer = 4;
 constexpr std::int64_t answer_lifetime_ms = 5000;
 constexpr int status_not_found = 404;
 
-std::unique_ptr<schema::lookup_host_t> make_host(const steering::host_choice& choice) {
-    auto record = std::make_unique<schema::lookup_host_t>();
-    record->name = choice.chosen->name;
-    record->address = choice.chosen->request_address;
-    record->region = choice.chosen->region;
-    record->weight = choice.weight;
-    return record;
+std::shared_ptr<const lookup_book> current_book(host_state& host) {
+    auto members = current_generation(host);
+    auto configuration = current_catalog(host);
+    {
+        const std::lock_guard guard(host.lookups.mutex);
+        const auto& kept = host.lookups.book;
+        if (kept->members == members && kept->configuration == configuration) {
+            return kept;
+        }
+    }
+    auto fresh = std::make_shared<const lookup_book>(make_lookup_book(members, configuration));
+    const std::lock_guard guard(host.lookups.mutex);
+    const auto& kept = host.lookups.book;
+    if (kept->members == nullptr || kept->members->number <= members->number) {
+        host.lookups.book = fresh;
+    }
+    return fresh;
+}
+
+std::shared_ptr<const client_blocks> current_blocks(host_state& host) {
+    const std::lock_guard guard(host.lookups.mutex);
+    return host.lookups.blocks;
+}
+
+/// Site of the caller's address, or null.
+const client_site* find_site(const client_blocks& blocks, std::string_view peer) {
+    const auto address = steering::parse_address(peer);
+    const auto number = address ? steering::find_site(blocks.map, *address) : steering::no_site;
+    return number < blocks.sites.size() ? &blocks.sites[number] : nullptr;
+}
+
+std::string make_ticket(const host_state& host) {
+    return fmt::format("{:016x}", host.self.incarnation);
+}
+
+std::string answer_lookup(host_state& host, const transport::http_request& request) {
+    using transport::query_parameter;
+    const auto book = current_book(host);
+    const auto blocks = current_blocks(host);
+    const auto& query = request.head.query;
+    auto region = query_parameter(query, "region");
+    auto failure_domain = query_parameter(query, "failure_domain");
+    if (const auto* site = find_site(*blocks, request.peer)) {
+        region = site->region;
+        failure_domain = site->failure_domain;
+    }
+    const auto team = query_parameter(query, "team");
+    const auto seed = common::stable_hash(request.peer);
+    return transport::complete_lookup_answer(find_answer(*book, region, failure_domain, team, seed),
+                                             common::unix_milliseconds() + answer_lifetime_ms,
+                                             make_ticket(host));
 }
 
 } // namespace
@@ -30,16 +75,8 @@
         return {status_not_found, {}, "unknown path"};
     }
     common::count(host.metrics, "lookups");
-    const steering::caller_place place{transport::query_parameter(request.head.query, "region"),
-                                       transport::query_parameter(request.head.query, "failure_domain")};
-    const auto members = current_generation(host);
-    const auto seed = common::stable_hash(request.peer);
-    schema::lookup_answer_t answer;
-    answer.expires_at = common::unix_milliseconds() + answer_lifetime_ms;
-    for (const auto& it : steering::order_hosts(*members, place, seed, hosts_per_answer)) {
-        answer.hosts.push_back(make_host(it));
-    }
-    return transport::json_response(200, schema::to_json<schema::lookup_answer>(answer));
+    // A header would cost a tenth of a whole look-up in the HTTP library.
+    return {200, {}, answer_lookup(host, request)};
 }
 
 } // namespace lycheegap::host
--- a/source/core/steering/lookup.cpp
+++ b/source/core/steering/lookup.cpp
@@ -1,7 +1,8 @@
 #include "lookup.h"
 
 #include <algorithm>
-#include <cstdint>
+#include <array>
+#include <span>
 
 #include "core/common/digest.h"
 
@@ -17,32 +18,91 @@
 
 constexpr int same_domain = 0;
 constexpr int same_region = 1;
-constexpr int elsewhere = 2;
+constexpr int team_region = 2;
+constexpr int elsewhere = 3;
 constexpr int first_weight_percent = 100;
+constexpr std::size_t places_outside = 2;
 
 int distance_to(const membership::member& host, const caller_place& place) {
     if (host.failure_domain == place.failure_domain) {
         return same_domain;
     }
-    return host.region == place.region ? same_region : elsewhere;
+    if (host.region == place.region) {
+        return same_region;
+    }
+    return host.region == place.team_region ? team_region : elsewhere;
+}
+
+std::vector<candidate> find_candidates(const membership::generation& current, const caller_place& place,
+                                       std::uint64_t seed) {
+    std::vector<candidate> found;
+    found.reserve(current.members.size());
+    for (const auto& it : current.members) {
+        if (!it.leaving) {
+            found.push_back({&it, distance_to(it, place), common::stable_hash(it.name, seed)});
+        }
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](const candidate& a, const candidate& b) { return a.distance < b.distance; });
+    return found;
 }
 
-bool is_before(const candidate& a, const candidate& b) {
-    return a.distance != b.distance ? a.distance < b.distance : a.order < b.order;
+std::size_t nearest_of(std::span<const candidate> sorted) {
+    const auto is_nearest = [&](const candidate& it) { return it.distance == sorted.front().distance; };
+    return static_cast<std::size_t>(std::count_if(sorted.begin(), sorted.end(), is_nearest));
+}
+
+/// The seed's nearest host goes first; hashes spread its callers over the others when it fails.
+void spread(std::vector<candidate>& sorted, std::uint64_t seed) {
+    if (sorted.empty()) {
+        return;
+    }
+    const auto first = static_cast<std::ptrdiff_t>(seed % nearest_of(sorted));
+    std::rotate(sorted.begin(), sorted.begin() + first, sorted.begin() + first + 1);
+    std::sort(sorted.begin() + 1, sorted.end(), [](const candidate& a, const candidate& b) {
+        return a.distance != b.distance ? a.distance < b.distance : a.order < b.order;
+    });
+}
+
+std::size_t first_outside(std::span<const candidate> sorted, std::size_t from,
+                          bool (*is_inside)(const membership::member&, const membership::member&)) {
+    const auto& first = *sorted.front().host;
+    std::size_t n = from;
+    while (n < sorted.size() && is_inside(*sorted[n].host, first)) {
+        ++n;
+    }
+    return n;
+}
+
+bool in_domain(const membership::member& a, const membership::member& b) {
+    return a.failure_domain == b.failure_domain;
+}
+
+bool in_region(const membership::member& a, const membership::member& b) {
+    return a.region == b.region;
+}
+
+/// Moves candidate `from` up to the place `to`.
+void move_up(std::vector<candidate>& sorted, std::size_t from, std::size_t to) {
+    if (from < sorted.size() && from > to) {
+        const auto begin = sorted.begin();
+        std::rotate(begin + static_cast<std::ptrdiff_t>(to), begin + static_cast<std::ptrdiff_t>(from),
+                    begin + static_cast<std::ptrdiff_t>(from) + 1);
+    }
 }
 
 } // namespace
 
 std::vector<host_choice> order_hosts(const membership::generation& current, const caller_place& place,
                                      std::uint64_t seed, std::size_t limit) {
-    std::vector<candidate> candidates;
-    candidates.reserve(current.members.size());
-    for (const auto& it : current.members) {
-        if (!it.leaving) {
-            candidates.push_back({&it, distance_to(it, place), common::stable_hash(it.name, seed)});
-        }
+    auto candidates = find_candidates(current, place, seed);
+    spread(candidates, seed);
+    if (limit > places_outside && candidates.size() > limit) {
+        // A caller keeps a host when a whole failure domain or region fails before its next look-up.
+        const auto outside = limit - places_outside;
+        move_up(candidates, first_outside(candidates, outside, &in_domain), outside);
+        move_up(candidates, first_outside(candidates, outside + 1, &in_region), outside + 1);
     }
-    std::sort(candidates.begin(), candidates.end(), is_before);
     candidates.resize(std::min(candidates.size(), limit));
     std::vector<host_choice> answer;
     answer.reserve(candidates.size());
@@ -54,4 +114,13 @@
     return answer;
 }
 
+std::size_t count_nearest(const membership::generation& current, const caller_place& place) {
+    std::array<std::size_t, elsewhere + 1> counts{};
+    for (const auto& it : current.members) {
+        counts.at(static_cast<std::size_t>(distance_to(it, place))) += it.leaving ? 0 : 1;
+    }
+    const auto nearest = std::find_if(counts.begin(), counts.end(), [](auto n) { return n > 0; });
+    return nearest == counts.end() ? 0 : *nearest;
+}
+
 } // namespace lycheegap::steering
