Give leaving endpoints no new work: reports in answers, shared probes, shares of regions under a cap

Cause: an endpoint's drain was known only by the catalog, each host chose by its own view alone, and spilled to other regions without a cap. Now answers and probes tell load and drain; one host of the fleet, by rendezvous hashing, probes an endpoint when its own answers are older than an interval and tells all; the next in order takes over after another interval. A host draws the region of each request by shares which it moves by at most the cap.

--- /dev/null
+++ b/source/core/host/endpoint_probes.cpp
@@ -0,0 +1,161 @@
+#include "endpoint_probes.h"
+
+#include <algorithm>
+#include <mutex>
+
+#include "core/schema/codec.h"
+#include "core/steering/probing.h"
+#include "endpoint_use.h"
+#include "host_state.h"
+#include "periodic.h"
+#include "region_use.h"
+
+namespace lycheegap::host {
+
+namespace {
+
+using common::milliseconds;
+using common::monotonic;
+using common::time_point;
+
+constexpr auto probe_timeout = milliseconds(500);
+constexpr auto report_timeout = milliseconds(1000);
+constexpr int ticks_per_interval = 4;
+
+struct due_endpoint {
+    std::string address;
+    /// What its answers have told is older than an interval.
+    bool needs_probe{false};
+};
+
+milliseconds probe_interval(const host_state& host) {
+    return milliseconds(host.settings.steering->probe_interval);
+}
+
+/// Endpoints of which it is this host's turn to tell the others; the turn is taken at once.
+std::vector<due_endpoint> take_due(host_state& host, time_point now) {
+    const auto members = current_generation(host);
+    const auto interval = probe_interval(host);
+    std::vector<due_endpoint> due;
+    const std::lock_guard guard(host.endpoints.mutex);
+    for (auto& [service, endpoints] : host.endpoints.services) {
+        for (auto& it : endpoints) {
+            const auto rank = steering::prober_rank(it.address, host.self.name, *members);
+            if (steering::is_probe_due(rank, it.spread_at, interval, now)) {
+                it.spread_at = now;
+                due.push_back({it.address, it.reported_at + interval <= now});
+            }
+        }
+    }
+    return due;
+}
+
+void note_dead(host_state& host, std::string_view address) {
+    const auto now = monotonic::now();
+    const std::lock_guard guard(host.endpoints.mutex);
+    for (auto& [service, endpoints] : host.endpoints.services) {
+        for (auto& it : endpoints) {
+            if (it.address == address) {
+                steering::note_failure(it, now);
+            }
+        }
+    }
+}
+
+void probe(host_state& host, const std::string& address) {
+    transport::http_call call;
+    call.address = address;
+    call.head.method = "GET";
+    call.head.path = "/health";
+    call.deadline = monotonic::now() + probe_timeout;
+    common::count(host.metrics, "probes");
+    const auto result = transport::call_http(host.endpoint_connections, call);
+    if (result.response) {
+        learn_from_head(host, address, result.response->headers);
+    } else {
+        note_dead(host, address);
+    }
+}
+
+void add_loads(host_state& host, std::string_view address, time_point now, schema::load_report_t& report) {
+    const std::lock_guard guard(host.endpoints.mutex);
+    for (const auto& [service, endpoints] : host.endpoints.services) {
+        for (const auto& it : endpoints) {
+            if (it.address == address && it.reported_at != time_point{}) {
+                auto load = std::make_unique<schema::endpoint_load_t>();
+                load->address = it.address;
+                load->load = it.reported_load;
+                load->draining = it.leaving;
+                load->age_ms = common::milliseconds_between(it.reported_at, now);
+                report.endpoints.push_back(std::move(load));
+                return;
+            }
+        }
+    }
+}
+
+void spread(host_state& host, std::span<const due_endpoint> due) {
+    schema::load_report_t report;
+    report.host = host.self.name;
+    const auto now = monotonic::now();
+    for (const auto& it : due) {
+        add_loads(host, it.address, now, report);
+    }
+    if (report.endpoints.empty()) {
+        return;
+    }
+    schema::peer_message_t message;
+    message.body.Set(std::move(report));
+    const auto encoded = schema::encode<schema::peer_message>(message);
+    const auto members = current_generation(host);
+    for (const auto& it : members->members) {
+        if (it.name != host.self.name) {
+            host.peers->call(it.peer_address, encoded, now + report_timeout,
+                             [](const std::optional<schema::bytes>& /*answer*/) {});
+        }
+    }
+}
+
+void tell_of_endpoints(host_state& host) {
+    const auto due = take_due(host, monotonic::now());
+    for (const auto& it : due) {
+        if (it.needs_probe) {
+            probe(host, it.address);
+        }
+    }
+    if (!due.empty()) {
+        spread(host, due);
+    }
+}
+
+void note_spread(host_state& host, std::string_view address, time_point now) {
+    const std::lock_guard guard(host.endpoints.mutex);
+    for (auto& [service, endpoints] : host.endpoints.services) {
+        for (auto& it : endpoints) {
+            if (it.address == address) {
+                it.spread_at = now;
+            }
+        }
+    }
+}
+
+} // namespace
+
+void start_steering(host_state& host) {
+    start_periodic(host, probe_interval(host) / ticks_per_interval, &tell_of_endpoints);
+    start_periodic(host, milliseconds(host.settings.steering->shift_interval), &move_regions);
+}
+
+schema::load_report_answer_t take_load_report(host_state& host, const schema::load_report_t& report) {
+    const auto now = monotonic::now();
+    for (const auto& it : report.endpoints) {
+        const auto age = milliseconds(std::max<std::int64_t>(0, it->age_ms));
+        learn_from_report(host, it->address, {it->load, it->draining}, now - age);
+        note_spread(host, it->address, now);
+    }
+    schema::load_report_answer_t answer;
+    answer.host = host.self.name;
+    return answer;
+}
+
+} // namespace lycheegap::host
--- a/source/core/host/endpoint_use.cpp
+++ b/source/core/host/endpoint_use.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 
 #include "host_state.h"
+#include "region_use.h"
 
 namespace lycheegap::host {
 
@@ -11,7 +12,9 @@
 
 using common::monotonic;
 
-constexpr auto avoid_after_failure = common::milliseconds(500);
+constexpr std::string_view load_header = "x-load-percent";
+constexpr std::string_view draining_header = "x-draining";
+constexpr double percent = 100;
 
 steering::endpoint_state fresh_state(const std::string& service, const catalog::endpoint& source) {
     steering::endpoint_state state;
@@ -23,6 +26,16 @@
     return state;
 }
 
+/// What was learnt of an endpoint stays; what the catalog says of it is new.
+steering::endpoint_state with_learnt(steering::endpoint_state fresh, const steering::endpoint_state& known) {
+    auto merged = known;
+    merged.service = std::move(fresh.service);
+    merged.name = std::move(fresh.name);
+    merged.region = std::move(fresh.region);
+    merged.slots = fresh.slots;
+    return merged;
+}
+
 std::vector<steering::endpoint_state> merged_states(const catalog::service& service,
                                                     const std::vector<steering::endpoint_state>& before) {
     std::vector<steering::endpoint_state> after;
@@ -30,16 +43,27 @@
         auto state = fresh_state(service.name, it);
         const auto same_address = [&](const auto& old) { return old.address == it.address; };
         const auto known = std::find_if(before.begin(), before.end(), same_address);
-        if (known != before.end()) {
-            state.in_flight = known->in_flight;
-            state.latency_ms = known->latency_ms;
-            state.avoid_until = known->avoid_until;
-        }
-        after.push_back(std::move(state));
+        after.push_back(known == before.end() ? std::move(state) : with_learnt(std::move(state), *known));
     }
     return after;
 }
 
+void note_end(steering::endpoint_state& endpoint, execution::attempt_result result, double latency_ms,
+              common::time_point now) {
+    switch (result) {
+    case execution::attempt_result::answered:
+        steering::note_latency(endpoint, latency_ms, now);
+        break;
+    case execution::attempt_result::shed:
+        steering::note_shed(endpoint, now);
+        break;
+    case execution::attempt_result::not_sent:
+    case execution::attempt_result::lost:
+        steering::note_failure(endpoint, now);
+        break;
+    }
+}
+
 } // namespace
 
 std::optional<std::string> take_endpoint(host_state& host, std::string_view service,
@@ -49,8 +73,9 @@
     if (it == host.endpoints.services.end()) {
         return std::nullopt;
     }
-    const auto chosen = steering::choose_endpoint(it->second, host.self.region, excluded, monotonic::now(),
-                                                  host.endpoints.random);
+    const auto region = draw_region(host.endpoints.regions[it->first], host.endpoints.random);
+    const auto chosen =
+        steering::choose_in_region(it->second, region, excluded, monotonic::now(), host.endpoints.random);
     if (!chosen) {
         return std::nullopt;
     }
@@ -71,10 +96,30 @@
             continue;
         }
         --endpoint.in_flight;
-        if (result == execution::attempt_result::answered) {
-            steering::note_latency(endpoint, latency_ms);
-        } else {
-            endpoint.avoid_until = monotonic::now() + avoid_after_failure;
+        note_end(endpoint, result, latency_ms, monotonic::now());
+        host.endpoints.regions[it->first].busy_ms += latency_ms;
+    }
+}
+
+void learn_from_head(host_state& host, std::string_view address,
+                     const std::vector<execution::header>& headers) {
+    const auto load = execution::find_header(headers, load_header);
+    steering::endpoint_report report;
+    report.load = static_cast<double>(transport::number_or(load, 0)) / percent;
+    report.draining = !execution::find_header(headers, draining_header).empty();
+    if (!load.empty() || report.draining) {
+        learn_from_report(host, address, report, monotonic::now());
+    }
+}
+
+void learn_from_report(host_state& host, std::string_view address, const steering::endpoint_report& report,
+                       common::time_point measured_at) {
+    const std::lock_guard guard(host.endpoints.mutex);
+    for (auto& [service, endpoints] : host.endpoints.services) {
+        for (auto& it : endpoints) {
+            if (it.address == address && it.reported_at < measured_at) {
+                steering::note_report(it, report, measured_at);
+            }
         }
     }
 }
@@ -84,7 +129,9 @@
     std::map<std::string, std::vector<steering::endpoint_state>, std::less<>> services;
     for (const auto& [name, service] : configuration.services) {
         services[name] = merged_states(service, host.endpoints.services[name]);
+        update_regions(host.endpoints.regions[name], services[name], host.self.region);
     }
+    std::erase_if(host.endpoints.regions, [&](const auto& it) { return !services.contains(it.first); });
     host.endpoints.services.swap(services);
 }
 
--- a/source/core/host/host_state.cpp
+++ b/source/core/host/host_state.cpp
@@ -5,6 +5,7 @@
 #include "core/common/digest.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
+#include "endpoint_probes.h"
 #include "operator_api.h"
 #include "peer_api.h"
 #include "serve_lookup.h"
@@ -113,6 +114,7 @@
     }
     name_own_addresses(*host);
     start_upkeep(*host);
+    start_steering(*host);
     common::log_info("ready", {common::field("host", host->self.name),
                                common::field("incarnation", host->self.incarnation),
                                common::field("lookup", host->self.lookup_address),
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -12,11 +12,11 @@
 #include "core/common/worker_pool.h"
 #include "core/membership/authority.h"
 #include "core/settings/ini_settings.h"
-#include "core/steering/endpoint_choice.h"
 #include "core/transport/http_client.h"
 #include "core/transport/http_server.h"
 #include "core/transport/peer_link.h"
 #include "core/transport/store_client.h"
+#include "endpoint_table.h"
 #include "lookup_table.h"
 
 namespace lycheegap::host {
@@ -57,13 +57,6 @@
     std::map<std::string, team_allowance, std::less<>> teams;
 };
 
-struct endpoint_table {
-    common::ranked_mutex mutex{common::lock_rank::endpoint_table};
-    /// By service.
-    std::map<std::string, std::vector<steering::endpoint_state>, std::less<>> services;
-    steering::random_engine random;
-};
-
 /// Everything one process of lycheegapd holds.
 struct host_state {
     settings::daemon_settings settings;
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -3,6 +3,7 @@
 #include "core/allowance/home.h"
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
+#include "endpoint_probes.h"
 #include "host_state.h"
 #include "spend.h"
 
@@ -71,6 +72,11 @@
     if (const auto* request = decoded->body.Astoken_request()) {
         return answer_tokens(host, *request);
     }
+    if (const auto* report = decoded->body.Asload_report()) {
+        schema::peer_message_t answer;
+        answer.body.Set(take_load_report(host, *report));
+        return encode_message(answer);
+    }
     return refuse(common::step::decode, "not a request");
 }
 
--- a/source/core/host/serve_request.cpp
+++ b/source/core/host/serve_request.cpp
@@ -173,6 +173,9 @@
     const auto result = classify(outcome);
     const double latency_ms = common::seconds_between(began_at, monotonic::now()) * 1000;
     give_back_endpoint(host, it.match.rule->service, address, result, latency_ms);
+    if (outcome.response) {
+        learn_from_head(host, address, outcome.response->headers);
+    }
     if (result != attempt_result::answered) {
         common::log_warning("attempt_failed", {field("request", it.request_id), field("endpoint", address),
                                                field("reason", common::last_reason().text)});
--- a/source/stand_ins/endpoint_control.cpp
+++ b/source/stand_ins/endpoint_control.cpp
@@ -61,6 +61,7 @@
     take_number(query, "cold_factor", it.cold_factor);
     take_switch(query, "shed", it.shed);
     take_switch(query, "drain", it.draining);
+    take_switch(query, "hide_drain", it.hide_drain);
     if (it.draining && !was_draining) {
         endpoint.draining_since = monotonic::now();
     }
--- a/source/stand_ins/endpoint_control.h
+++ b/source/stand_ins/endpoint_control.h
@@ -5,8 +5,8 @@
 namespace lycheegap::stand_ins {
 
 /// Takes the given fields of a behaviour: slots, service_ms, connection_ms, probe_ms, shed, drain,
-/// report_percent, report_lag_ms, cold_ms, cold_factor. cold=1 makes the worker cold now; silent=1 loses all
-/// later requests of the connections open now, silent=2 only their answers.
+/// hide_drain, report_percent, report_lag_ms, cold_ms, cold_factor. cold=1 makes the worker cold now;
+/// silent=1 loses all later requests of the connections open now, silent=2 only their answers.
 transport::http_response set_behaviour(endpoint_table& endpoint, std::string_view query);
 
 /// The counts in one line, then one line for each run: id and path.
--- a/source/stand_ins/endpoint_table.cpp
+++ b/source/stand_ins/endpoint_table.cpp
@@ -74,7 +74,7 @@
 
 http_response with_report(endpoint_table& endpoint, http_response answer) {
     answer.headers.push_back({"x-load-percent", std::to_string(load_percent(endpoint))});
-    if (endpoint.behaviour.draining) {
+    if (endpoint.behaviour.draining && !endpoint.behaviour.hide_drain) {
         answer.headers.push_back({"x-draining", "1"});
     }
     return answer;
--- a/source/stand_ins/endpoint_table.h
+++ b/source/stand_ins/endpoint_table.h
@@ -28,6 +28,8 @@
     bool shed{false};
     /// Says in each answer that it leaves; it still serves what comes.
     bool draining{false};
+    /// Drains without saying so.
+    bool hide_drain{false};
     /// Load that is reported in place of the true one, in percent of the slots; negative reports the true
     /// one.
     int report_percent{-1};
