--- a/source/benchmarks/lookup_benchmark.cpp
+++ b/source/benchmarks/lookup_benchmark.cpp
@@ -217,6 +217,7 @@
 
 int main() {
     host::host_state state;
+    state.outcomes.memories[0] = lycheegap::execution::make_memory(0, monotonic::now(), {});
     fill_members(state);
     fill_blocks(state);
     const auto empty = serve([](const transport::http_request&) { return transport::http_response{}; });
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -5,6 +5,7 @@
 #include "core/schema/generated/peer_generated.h"
 #include "endpoint_probes.h"
 #include "host_state.h"
+#include "inquiry.h"
 #include "spend.h"
 
 namespace lycheegap::host {
@@ -77,6 +78,11 @@
         answer.body.Set(take_load_report(host, *report));
         return encode_message(answer);
     }
+    if (const auto* question = decoded->body.Asoutcome_question()) {
+        schema::peer_message_t answer;
+        answer.body.Set(answer_outcome_question(host, *question));
+        return encode_message(answer);
+    }
     return refuse(common::step::decode, "not a request");
 }
 
--- a/source/core/host/serve_lookup.cpp
+++ b/source/core/host/serve_lookup.cpp
@@ -2,8 +2,6 @@
 
 #include <mutex>
 
-#include <fmt/format.h>
-
 #include "core/common/digest.h"
 #include "core/transport/lookup_codec.h"
 #include "host_state.h"
@@ -46,10 +44,6 @@
     return number < blocks.sites.size() ? &blocks.sites[number] : nullptr;
 }
 
-std::string make_ticket(const host_state& host) {
-    return fmt::format("{:016x}", host.self.incarnation);
-}
-
 std::string answer_lookup(host_state& host, const transport::http_request& request) {
     using transport::query_parameter;
     const auto book = current_book(host);
@@ -65,7 +59,7 @@
     const auto seed = common::stable_hash(request.peer);
     return transport::complete_lookup_answer(find_answer(*book, region, failure_domain, team, seed),
                                              common::unix_milliseconds() + answer_lifetime_ms,
-                                             make_ticket(host));
+                                             new_ticket(host));
 }
 
 } // namespace
--- a/source/core/steering/region_split.cpp
+++ b/source/core/steering/region_split.cpp
@@ -38,7 +38,7 @@
 
 struct move_state {
     region_split& split;
-    double left;
+    double left{0};
     common::time_point now;
 };
 
--- a/source/stand_ins/endpoint_table.cpp
+++ b/source/stand_ins/endpoint_table.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "core/common/log.h"
 #include "endpoint_control.h"
 
 namespace lycheegap::stand_ins {
@@ -96,6 +97,8 @@
 }
 
 void record_run(endpoint_table& endpoint, const http_request& request, std::string_view id) {
+    // The log outlives the process: tests count runs by it after a kill.
+    common::log_info("ran", {common::field("request", id), common::field("path", request.head.path)});
     endpoint.runs.push_back(
         {std::string(id), request.head.path, std::string(transport::as_text(request.body))});
     if (endpoint.behaviour.draining) {
