--- a/source/unit_tests/steering/choice_model.cpp
+++ b/source/unit_tests/steering/choice_model.cpp
@@ -158,7 +158,7 @@
     it.latencies[request.team].push_back(it.now_ms - request.arrived_ms);
 }
 
-void retry(model& it, model_request request) {
+void retry(model& it, const model_request& request) {
     if (request.attempts >= attempt_limit) {
         it.result.refused += request.arrived_ms >= warm_up_ms ? 1 : 0;
         return;
@@ -179,7 +179,7 @@
         note_shed(state, moment(it));
         auto again = request;
         again.excluded = state.address;
-        retry(it, std::move(again));
+        retry(it, again);
         return;
     }
     note_latency(state, it.now_ms - sent_ms, moment(it));
@@ -211,7 +211,7 @@
     ++request.attempts;
     const auto chosen = choose(it, request);
     if (!chosen) {
-        retry(it, std::move(request));
+        retry(it, request);
         return;
     }
     ++it.views[request.host][*chosen].in_flight;
--- a/source/unit_tests/steering/choice_test.cpp
+++ b/source/unit_tests/steering/choice_test.cpp
@@ -49,7 +49,8 @@
 
 } // namespace
 
-TEST_CASE("two choices refuse less than round robin and least reported load, and are not slower than the latter") {
+TEST_CASE(
+    "two choices refuse less than round robin and least reported load, and are not slower than the latter") {
     for (const auto& it : deployments) {
         CAPTURE(it.name);
         const auto ours = mean_of_seeds(it, choice_policy::ours);
--- a/source/unit_tests/steering/region_split_test.cpp
+++ b/source/unit_tests/steering/region_split_test.cpp
@@ -62,7 +62,7 @@
     fleet_model it;
     it.splits.resize(hosts);
     for (std::size_t n = 0; n < hosts; ++n) {
-        it.demand_slots.push_back(loads[region_of(n)] * slots_per_region / (hosts / regions));
+        it.demand_slots.push_back(loads[region_of(n)] * slots_per_region * regions / hosts);
         it.splits[n].shares.resize(regions);
         it.splits[n].shares[region_of(n)] = 1;
         it.splits[n].moved_at.resize(regions);
