--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,7 @@
 #include "endpoint_table.h"
 #include "lookup_table.h"
 #include "outcome_table.h"
+#include "queue_table.h"
 
 namespace lycheegap::host {
 
@@ -65,6 +67,8 @@
     settings::daemon_settings settings;
     /// This host with its actual addresses and incarnation.
     membership::member self;
+    /// This host is about to stop; its look-ups send callers elsewhere.
+    std::atomic<bool> leaving{false};
     common::metrics_table metrics;
     control_table control;
     catalog_table catalog;
@@ -73,6 +77,7 @@
     allowance_table allowances;
     endpoint_table endpoints;
     lookup_table lookups;
+    queue_table queues;
     outcome_table outcomes;
     transport::connection_pool endpoint_connections;
     transport::connection_pool store_connections;
