--- a/source/benchmarks/capacity_slopes.cpp
+++ b/source/benchmarks/capacity_slopes.cpp
@@ -182,8 +182,8 @@
         std::uint64_t seed = 0;
         std::size_t found = 0;
         const double cost = bench::cost_us([&] {
-            found +=
-                steering::order_hosts(members, {"region-3", "region-3-1"}, ++seed, hosts_per_answer).size();
+            found += steering::order_hosts(members, {"region-3", "region-3-1", {}}, ++seed, hosts_per_answer)
+                         .size();
         });
         std::cout << fmt::format("{} {:.2f}\n", hosts, found > 0 ? cost : 0);
         times.push_back({static_cast<double>(hosts), cost});
--- a/source/benchmarks/decision_bench.cpp
+++ b/source/benchmarks/decision_bench.cpp
@@ -31,7 +31,7 @@
     const auto members = make_generation(hosts, 9);
     std::uint64_t seed = 0;
     return cost_us([&] {
-        const steering::caller_place place{"region-3", "region-3-1"};
+        const steering::caller_place place{"region-3", "region-3-1", ""};
         keep(steering::order_hosts(members, place, ++seed, hosts_per_answer));
     });
 }
--- a/source/core/host/host_state.h
+++ b/source/core/host/host_state.h
@@ -14,11 +14,12 @@
 #include "core/common/worker_pool.h"
 #include "core/membership/authority.h"
 #include "core/settings/ini_settings.h"
-#include "core/steering/endpoint_choice.h"
 #include "core/transport/http_client.h"
 #include "core/transport/http_server.h"
 #include "core/transport/peer_link.h"
 #include "core/transport/store_client.h"
+#include "endpoint_table.h"
+#include "lookup_table.h"
 #include "outcome_table.h"
 #include "queue_table.h"
 
@@ -49,13 +50,6 @@
     bool given_up{false};
 };
 
-struct endpoint_table {
-    common::ranked_mutex mutex{common::lock_rank::endpoint_table};
-    /// By service.
-    std::map<std::string, std::vector<steering::endpoint_state>, std::less<>> services;
-    steering::random_engine random;
-};
-
 /// Everything one process of lycheegapd holds.
 struct host_state {
     settings::daemon_settings settings;
@@ -70,6 +64,7 @@
     authority_table authority;
     allowance_table allowances;
     endpoint_table endpoints;
+    lookup_table lookups;
     queue_table queues;
     outcome_table outcomes;
     transport::connection_pool endpoint_connections;
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -3,6 +3,7 @@
 #include "ask_home.h"
 #include "core/common/log.h"
 #include "core/schema/generated/peer_generated.h"
+#include "endpoint_probes.h"
 #include "handover.h"
 #include "handover_home.h"
 #include "heartbeats.h"
@@ -60,6 +61,11 @@
     if (const auto* handover = decoded->body.Ashome_handover()) {
         return encode_answer(take_handover(host, *handover));
     }
+    if (const auto* report = decoded->body.Asload_report()) {
+        schema::peer_message_t answer;
+        answer.body.Set(take_load_report(host, *report));
+        return encode_message(answer);
+    }
     if (const auto* question = decoded->body.Asoutcome_question()) {
         schema::peer_message_t answer;
         answer.body.Set(answer_outcome_question(host, *question));
