--- a/source/core/host/acceptance_watch.cpp
+++ b/source/core/host/acceptance_watch.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <mutex>
-#include <ranges>
 
 #include "core/common/log.h"
 #include "host_state.h"
@@ -42,13 +41,14 @@
 // Looks at the newest version first: it takes all older ones with it.
 void accept_what_is_due(host_state& host) {
     const auto now = monotonic::now();
-    for (const auto& it : std::views::reverse(host.control.history)) {
-        const auto version = it.state->version;
+    const auto& history = host.control.history;
+    for (auto it = history.rbegin(); it != history.rend(); ++it) {
+        const auto version = it->state->version;
         if (version <= accepted_version(host.control)) {
             return;
         }
         if (weigh(host, version).accepted_at <= now) {
-            accept(host, it.state);
+            accept(host, it->state);
             return;
         }
     }
@@ -77,12 +77,12 @@
 
 void note_accepted(host_state& host, std::uint64_t version) {
     auto& table = host.control;
-    for (const auto& it : std::views::reverse(table.history)) {
-        if (it.state->version <= accepted_version(table)) {
+    for (auto it = table.history.rbegin(); it != table.history.rend(); ++it) {
+        if (it->state->version <= accepted_version(table)) {
             return;
         }
-        if (it.state->version <= version) {
-            accept(host, it.state);
+        if (it->state->version <= version) {
+            accept(host, it->state);
             return;
         }
     }
--- a/source/failure_tests/graceful_stop_test.cpp
+++ b/source/failure_tests/graceful_stop_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <span>
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -39,11 +40,11 @@
     bool handed_over{false};
 };
 
-/// One host of three is stopped as planned while callers follow look-up answers.
-stop_result stop_under_load(std::string_view settings) {
+/// Three hosts that serve one team; waits until its bucket has filled.
+std::unique_ptr<fleet> start_serving_fleet(std::string_view settings) {
     fleet_options options;
     options.extra_settings = settings;
-    const auto it = start_fleet(options);
+    auto it = start_fleet(options);
     REQUIRE(it);
     REQUIRE(set_up_teams(*it, {"kite"}, 1000, 300));
     for (const auto& endpoint : it->endpoints) {
@@ -57,6 +58,17 @@
     REQUIRE(wait_until(milliseconds(10'000), serves));
     // The team's bucket starts empty.
     std::this_thread::sleep_for(milliseconds(300));
+    return it;
+}
+
+std::size_t count_over_rate(std::span<const load::request_end> ends) {
+    const auto is_over_rate = [](const load::request_end& end) { return end.reason == "rate"; };
+    return static_cast<std::size_t>(std::count_if(ends.begin(), ends.end(), is_over_rate));
+}
+
+/// One host of three is stopped as planned while callers follow look-up answers.
+stop_result stop_under_load(std::string_view settings) {
+    const auto it = start_serving_fleet(settings);
     std::vector<load::request_end> reads;
     std::vector<load::request_end> bookings;
     std::thread reader([&] { reads = load::run_load(plan_for(*it, "GET", "/forecast", 100)); });
@@ -70,10 +82,7 @@
     result.reads = load::summarize(reads);
     result.bookings = load::summarize(bookings);
     result.reasons = load::outcome_table(reads) + load::outcome_table(bookings);
-    const auto is_over_rate = [](const load::request_end& end) { return end.reason == "rate"; };
-    result.over_rate =
-        static_cast<std::size_t>(std::count_if(reads.begin(), reads.end(), is_over_rate) +
-                                 std::count_if(bookings.begin(), bookings.end(), is_over_rate));
+    result.over_rate = count_over_rate(reads) + count_over_rate(bookings);
     result.handed_over = read_log(stopped).find("outcomes_handed_over") != std::string::npos;
     return result;
 }
