--- a/source/unit_tests/allowance/fleet_rate_test.cpp
+++ b/source/unit_tests/allowance/fleet_rate_test.cpp
@@ -79,6 +79,7 @@
         }
     };
     std::vector<std::thread> threads;
+    threads.reserve(search_threads);
     for (int n = 0; n < search_threads; ++n) {
         threads.emplace_back(run);
     }
--- a/source/unit_tests/execution/once_model_test.cpp
+++ b/source/unit_tests/execution/once_model_test.cpp
@@ -33,7 +33,7 @@
 class history {
 public:
     history(std::uint64_t seed, strategy how) : random_(seed), how_(how) {
-        home_ = make_memory(1, now_, limits);
+        home_ = make_memory(1, now_, limits_);
         for (std::uint64_t n = 0; n < requests; ++n) {
             plan_request(n);
         }
@@ -63,7 +63,7 @@
     static constexpr int copies = 4;
     static constexpr int service_ms = 300;
     static constexpr std::uint64_t fingerprint = 5;
-    const memory_limits limits{5, 100'000, 100, milliseconds(2500), 100};
+    const memory_limits limits_{5, 100'000, 100, milliseconds(2500), 100};
 
     milliseconds random_ms(int limit) {
         return milliseconds(random_() % static_cast<std::uint64_t>(limit));
@@ -140,7 +140,7 @@
 
     void crash() {
         ++epoch_;
-        home_ = make_memory(home_.incarnation + 1, now_, limits);
+        home_ = make_memory(home_.incarnation + 1, now_, limits_);
     }
 
     void hand_over() {
@@ -151,7 +151,7 @@
         const auto delay = random_ms(100);
         // The old host serves what it remembers until the successor has the memory.
         at(delay, [this, age, exported] {
-            home_ = adopt_memory(exported.incarnation, age, now_, limits);
+            home_ = adopt_memory(exported.incarnation, age, now_, limits_);
             for (const auto& [id, entry] : exported.entries) {
                 adopt_outcome(home_, id, entry);
             }
--- a/source/unit_tests/transport/whole_answer_test.cpp
+++ b/source/unit_tests/transport/whole_answer_test.cpp
@@ -142,7 +142,8 @@
         where.sin_family = AF_INET;
         where.sin_port = htons(static_cast<std::uint16_t>(port));
         inet_pton(AF_INET, "127.0.0.1", &where.sin_addr);
-        connect(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where);
+        // A failed connection shows in the first read.
+        [[maybe_unused]] const int ec = connect(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where);
     }
 
     naive_client(const naive_client&) = delete;
