Encode messages between hosts in one place

Change: schema::encode_peer serves all; an announcement of a handover is encoded once for all members; the question whether a member holds the same withdrawn keys stands once. Behaviour is unchanged.

--- a/source/core/host/ask_home.cpp
+++ b/source/core/host/ask_home.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "core/allowance/home.h"
+#include "core/schema/peer_codec.h"
 #include "host_state.h"
 #include "team_homes.h"
 
@@ -43,9 +44,7 @@
         record->returned = it.returned;
         request.reports.push_back(std::move(record));
     }
-    schema::peer_message_t message;
-    message.body.Set(std::move(request));
-    return schema::encode<schema::peer_message>(message);
+    return schema::encode_peer(std::move(request));
 }
 
 std::optional<allowance::loan_grant> parse_grant(const std::optional<schema::bytes>& answer) {
--- a/source/core/host/endpoint_probes.cpp
+++ b/source/core/host/endpoint_probes.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 
 #include "core/schema/codec.h"
+#include "core/schema/peer_codec.h"
 #include "core/steering/probing.h"
 #include "endpoint_use.h"
 #include "host_state.h"
@@ -104,9 +105,7 @@
     if (report.endpoints.empty()) {
         return;
     }
-    schema::peer_message_t message;
-    message.body.Set(std::move(report));
-    const auto encoded = schema::encode<schema::peer_message>(message);
+    const auto encoded = schema::encode_peer(std::move(report));
     const auto members = current_generation(host);
     for (const auto& it : members->members) {
         if (it.name != host.self.name) {
--- a/source/core/host/forward.cpp
+++ b/source/core/host/forward.cpp
@@ -6,6 +6,7 @@
 #include "admission.h"
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
+#include "core/schema/peer_codec.h"
 #include "header_codec.h"
 #include "host_state.h"
 #include "once.h"
@@ -34,9 +35,7 @@
     request.body = to_octets(transport::as_text(it.body));
     request.key_digest = it.key_digest;
     request.timeout = static_cast<int>(common::milliseconds_between(monotonic::now(), it.deadline));
-    schema::peer_message_t message;
-    message.body.Set(std::move(request));
-    return schema::encode<schema::peer_message>(message);
+    return schema::encode_peer(std::move(request));
 }
 
 std::optional<schema::peer_message_t> ask_member(host_state& host, const membership::member& target,
@@ -78,9 +77,7 @@
                                              common::time_point deadline) {
     schema::outcome_question_t question;
     question.successor_of = incarnation;
-    schema::peer_message_t message;
-    message.body.Set(std::move(question));
-    const auto encoded = schema::encode<schema::peer_message>(message);
+    const auto encoded = schema::encode_peer(std::move(question));
     const auto members = current_generation(host);
     std::size_t asked = 0;
     for (const auto& it : members->members) {
@@ -143,9 +140,7 @@
     answer.status = end.response.status;
     answer.headers = make_headers(end.response.headers);
     answer.body = to_octets(end.response.body);
-    schema::peer_message_t message;
-    message.body.Set(std::move(answer));
-    return schema::encode<schema::peer_message>(message);
+    return schema::encode_peer(std::move(answer));
 }
 
 bool take_forward_place(host_state& host) {
--- a/source/core/host/handover.cpp
+++ b/source/core/host/handover.cpp
@@ -6,6 +6,7 @@
 #include "core/common/digest.h"
 #include "core/common/log.h"
 #include "core/schema/codec.h"
+#include "core/schema/peer_codec.h"
 #include "header_codec.h"
 #include "host_state.h"
 
@@ -81,10 +82,8 @@
 }
 
 bool send_handover(host_state& host, const membership::member& target, schema::outcome_handover_t part) {
-    schema::peer_message_t message;
-    message.body.Set(std::move(part));
-    const auto answer = host.peers->call_and_wait(
-        target.peer_address, schema::encode<schema::peer_message>(message), monotonic::now() + part_timeout);
+    const auto answer = host.peers->call_and_wait(target.peer_address, schema::encode_peer(std::move(part)),
+                                                  monotonic::now() + part_timeout);
     const auto decoded =
         answer ? schema::decode<schema::peer_message>(*answer, target.peer_address) : std::nullopt;
     const auto* told = decoded ? decoded->body.Asoutcome_handover_answer() : nullptr;
@@ -114,16 +113,16 @@
 /// Tells every member at once, and waits for none of them longer than the timeout.
 void announce(host_state& host, const std::vector<schema::outcome_handover_t>& parts,
               std::uint64_t successor) {
-    for (const auto& member : candidates(host)) {
-        for (const auto& part : parts) {
-            schema::outcome_handover_t news;
-            news.host = host.self.name;
-            news.incarnation = part.incarnation;
-            news.successor = successor;
-            schema::peer_message_t message;
-            message.body.Set(std::move(news));
-            host.peers->call(member.peer_address, schema::encode<schema::peer_message>(message),
-                             monotonic::now() + part_timeout, [](const auto& /*unused*/) {});
+    const auto members = candidates(host);
+    for (const auto& part : parts) {
+        schema::outcome_handover_t news;
+        news.host = host.self.name;
+        news.incarnation = part.incarnation;
+        news.successor = successor;
+        const auto encoded = schema::encode_peer(std::move(news));
+        for (const auto& member : members) {
+            host.peers->call(member.peer_address, encoded, monotonic::now() + part_timeout,
+                             [](const auto& /*unused*/) {});
         }
     }
 }
--- a/source/core/host/handover_home.cpp
+++ b/source/core/host/handover_home.cpp
@@ -4,6 +4,7 @@
 
 #include "core/allowance/home.h"
 #include "core/common/log.h"
+#include "core/schema/peer_codec.h"
 #include "host_state.h"
 
 namespace lycheegap::host {
@@ -33,9 +34,7 @@
         record->left = std::chrono::ceil<common::milliseconds>(it.deadline - now).count();
         handover.loans.push_back(std::move(record));
     }
-    schema::peer_message_t message;
-    message.body.Set(std::move(handover));
-    return schema::encode<schema::peer_message>(message);
+    return schema::encode_peer(std::move(handover));
 }
 
 allowance::account_handover parse_handover(const schema::home_handover_t& message, common::time_point now) {
--- a/source/core/host/heartbeats.cpp
+++ b/source/core/host/heartbeats.cpp
@@ -3,7 +3,7 @@
 #include <mutex>
 
 #include "acceptance_watch.h"
-#include "core/schema/generated/peer_generated.h"
+#include "core/schema/peer_codec.h"
 #include "core/transport/record_codec.h"
 #include "host_state.h"
 #include "withdrawn_keys.h"
@@ -66,10 +66,6 @@
 
 namespace {
 
-schema::bytes encode_body(schema::peer_message_t& message) {
-    return schema::encode<schema::peer_message>(message);
-}
-
 void take_relayed(host_state& host, schema::byte_view answer, const std::string& address) {
     const auto decoded = schema::decode<schema::peer_message>(answer, address);
     if (!decoded || decoded->body.Asrelay_answer() == nullptr) {
@@ -105,8 +101,6 @@
     schema::relay_question_t question;
     question.host = host.self.name;
     question.incarnation = host.self.incarnation;
-    schema::peer_message_t message;
-    message.body.Set(std::move(question));
     // The peer thread must not decode a whole catalog, so a worker does.
     const auto reply = [&host, address](std::optional<schema::bytes> answer) {
         if (answer) {
@@ -114,7 +108,8 @@
                 [&host, address, bytes = std::move(*answer)] { take_relayed(host, bytes, address); });
         }
     };
-    host.peers->call(address, encode_body(message), monotonic::now() + fetch_timeout, reply);
+    host.peers->call(address, schema::encode_peer(std::move(question)), monotonic::now() + fetch_timeout,
+                     reply);
 }
 
 /// Notes what a heartbeat or its answer says. The caller holds the control table's lock.
@@ -188,9 +183,7 @@
 
 void send_heartbeats(host_state& host) {
     const auto control = current_control(host);
-    schema::peer_message_t message;
-    message.body.Set(make_beat(host));
-    const auto encoded = encode_body(message);
+    const auto encoded = schema::encode_peer(make_beat(host));
     const auto asked_at = monotonic::now();
     for (const auto& it : control->members.members) {
         if (it.name == host.self.name) {
@@ -215,13 +208,11 @@
     }
     schema::heartbeat_answer_t answer;
     answer.beat = std::make_unique<schema::heartbeat_t>(make_beat(host));
-    schema::peer_message_t message;
-    message.body.Set(std::move(answer));
     const auto address = address_of(host, beat.host);
     if (!address.empty()) {
         fetch_from(host, address, beat.version);
     }
-    return encode_body(message);
+    return schema::encode_peer(std::move(answer));
 }
 
 schema::bytes answer_relay_question(host_state& host) {
@@ -232,9 +223,7 @@
         const auto* first = reinterpret_cast<const std::uint8_t*>(host.control.encoded.data());
         answer.control.assign(first, first + host.control.encoded.size());
     }
-    schema::peer_message_t message;
-    message.body.Set(std::move(answer));
-    return encode_body(message);
+    return schema::encode_peer(std::move(answer));
 }
 
 } // namespace lycheegap::host
--- a/source/core/host/inquiry.cpp
+++ b/source/core/host/inquiry.cpp
@@ -4,6 +4,7 @@
 
 #include "core/schema/codec.h"
 #include "core/schema/generated/callers_generated.h"
+#include "core/schema/peer_codec.h"
 #include "forward.h"
 #include "host_state.h"
 
@@ -49,9 +50,7 @@
 schema::bytes encode_question(std::string_view id) {
     schema::outcome_question_t question;
     question.request_id = id;
-    schema::peer_message_t message;
-    message.body.Set(std::move(question));
-    return schema::encode<schema::peer_message>(message);
+    return schema::encode_peer(std::move(question));
 }
 
 http_response ask_holder(host_state& host, std::string_view id, std::uint64_t incarnation) {
--- a/source/core/host/peer_api.cpp
+++ b/source/core/host/peer_api.cpp
@@ -2,7 +2,7 @@
 
 #include "ask_home.h"
 #include "core/common/log.h"
-#include "core/schema/generated/peer_generated.h"
+#include "core/schema/peer_codec.h"
 #include "endpoint_probes.h"
 #include "handover.h"
 #include "handover_home.h"
@@ -17,26 +17,13 @@
 
 using common::field;
 
-schema::bytes encode_message(const schema::peer_message_t& message) {
-    return schema::encode<schema::peer_message>(message);
-}
-
 schema::bytes refuse(common::step at, std::string_view text) {
     common::log_warning("peer_message_refused",
                         {field("step", common::step_name(at)), field("reason", text)});
     schema::peer_refusal_t refusal;
     refusal.step = common::step_name(at);
     refusal.text = text;
-    schema::peer_message_t message;
-    message.body.Set(std::move(refusal));
-    return encode_message(message);
-}
-
-template <typename Answer>
-schema::bytes encode_answer(Answer answer) {
-    schema::peer_message_t message;
-    message.body.Set(std::move(answer));
-    return encode_message(message);
+    return schema::encode_peer(std::move(refusal));
 }
 
 } // namespace
@@ -56,25 +43,19 @@
         return answer_withdrawn(host, *keys);
     }
     if (const auto* request = decoded->body.Astoken_request()) {
-        return encode_answer(answer_tokens(host, *request));
+        return schema::encode_peer(answer_tokens(host, *request));
     }
     if (const auto* handover = decoded->body.Ashome_handover()) {
-        return encode_answer(take_handover(host, *handover));
+        return schema::encode_peer(take_handover(host, *handover));
     }
     if (const auto* report = decoded->body.Asload_report()) {
-        schema::peer_message_t answer;
-        answer.body.Set(take_load_report(host, *report));
-        return encode_message(answer);
+        return schema::encode_peer(take_load_report(host, *report));
     }
     if (const auto* question = decoded->body.Asoutcome_question()) {
-        schema::peer_message_t answer;
-        answer.body.Set(answer_outcome_question(host, *question));
-        return encode_message(answer);
+        return schema::encode_peer(answer_outcome_question(host, *question));
     }
     if (const auto* handover = decoded->body.Asoutcome_handover()) {
-        schema::peer_message_t answer;
-        answer.body.Set(take_handover(host, *handover));
-        return encode_message(answer);
+        return schema::encode_peer(take_handover(host, *handover));
     }
     return refuse(common::step::decode, "not a request");
 }
--- a/source/core/host/withdrawn_keys.cpp
+++ b/source/core/host/withdrawn_keys.cpp
@@ -5,7 +5,7 @@
 
 #include "core/common/digest.h"
 #include "core/common/log.h"
-#include "core/schema/generated/peer_generated.h"
+#include "core/schema/peer_codec.h"
 #include "host_state.h"
 
 namespace lycheegap::host {
@@ -24,13 +24,16 @@
     return {host.control.withdrawn.begin(), host.control.withdrawn.end()};
 }
 
+/// Whether the member's last word on its withdrawn keys was this hash.
+bool has_told(const host_state& host, const std::string& name, std::uint64_t hash) {
+    const auto told = host.control.withdrawn_hashes.find(name);
+    return told != host.control.withdrawn_hashes.end() && told->second == hash;
+}
+
 std::size_t agreeing_members(const host_state& host, std::uint64_t hash) {
     std::size_t n = 0;
     for (const auto& it : host.control.current->members.members) {
-        const auto told = host.control.withdrawn_hashes.find(it.name);
-        n += it.name != host.self.name && told != host.control.withdrawn_hashes.end() && told->second == hash
-                 ? 1
-                 : 0;
+        n += it.name != host.self.name && has_told(host, it.name, hash) ? 1 : 0;
     }
     return n;
 }
@@ -40,9 +43,7 @@
     keys.host = host.self.name;
     keys.incarnation = host.self.incarnation;
     keys.digests = held_digests(host);
-    schema::peer_message_t message;
-    message.body.Set(std::move(keys));
-    return schema::encode<schema::peer_message>(message);
+    return schema::encode_peer(std::move(keys));
 }
 
 void take_digests(host_state& host, std::span<const std::string> digests, const std::string& from) {
@@ -137,9 +138,7 @@
     answer.host = host.self.name;
     answer.incarnation = host.self.incarnation;
     answer.digests = held_digests(host);
-    schema::peer_message_t reply;
-    reply.body.Set(std::move(answer));
-    return schema::encode<schema::peer_message>(reply);
+    return schema::encode_peer(std::move(answer));
 }
 
 std::vector<std::string> unstored_withdrawn(host_state& host) {
@@ -160,11 +159,10 @@
         const auto hash = withdrawn_hash(host);
         withdrawal_reach reach{1, {}};
         for (const auto& it : host.control.current->members.members) {
-            const auto told = host.control.withdrawn_hashes.find(it.name);
             if (it.name == host.self.name) {
                 continue;
             }
-            if (told != host.control.withdrawn_hashes.end() && told->second == hash) {
+            if (has_told(host, it.name, hash)) {
                 ++reach.hosts_in_force;
             } else {
                 reach.waiting_for.push_back(it.name);
