--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -11,22 +11,32 @@
     control_table = 5,
     /// host: catalog, generation and authority.
     catalog_table = 10,
+    /// gateway: the configuration in force and the turns of split routes.
+    routing_table = 12,
     membership_table = 20,
+    /// gateway: hosts of the fleet.
+    fleet_table = 22,
     authority_table = 30,
     /// host: prepared answers to look-ups and client blocks.
     lookup_table = 35,
     /// host: buckets and loans of teams.
     allowance_table = 40,
+    /// gateway: requests that teams had passed on.
+    rate_table = 42,
     /// host: queues of waiting requests.
     queue_table = 50,
+    /// gateway: second sendings to services.
+    retry_table = 55,
     /// host: ids and outcomes of non-idempotent requests.
     outcome_table = 60,
-    /// host: endpoints' state.
+    /// host, gateway: endpoints' state.
     endpoint_table = 70,
     /// host: this host's random numbers.
     random_state = 80,
     /// transport: connections to endpoints and store.
     connection_pool = 90,
+    /// gateway: open connections of callers.
+    caller_table = 95,
     /// transport: calls waiting for the peer thread.
     peer_outbox = 100,
     /// common: counted and measured quantities.
--- a/source/core/common/log.cpp
+++ b/source/core/common/log.cpp
@@ -1,7 +1,9 @@
 #include "log.h"
 
+#include <chrono>
 #include <memory>
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -36,16 +38,36 @@
     logger->log(level, "{}", format_line(event, fields));
 }
 
+// Lines that may wait for the writing thread.
+constexpr std::size_t queue_length = 1024;
+// Lines reach the reader this late at most.
+constexpr std::chrono::seconds flush_interval{1};
+
+std::shared_ptr<spdlog::logger> make_logger(const std::string& process, log_target target) {
+    if (target == log_target::error) {
+        return spdlog::stderr_logger_mt(process);
+    }
+    spdlog::init_thread_pool(queue_length, 1);
+    return spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(process);
+}
+
 } // namespace
 
-void start_log(std::string_view process, std::string_view least_level) {
-    auto logger = spdlog::stderr_logger_mt(std::string(process));
+void start_log(std::string_view process, std::string_view least_level, log_target target) {
+    auto logger = make_logger(std::string(process), target);
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l process=%n %v");
     logger->set_level(spdlog::level::from_str(std::string(least_level)));
-    logger->flush_on(spdlog::level::info);
+    logger->flush_on(target == log_target::error ? spdlog::level::info : spdlog::level::warn);
+    if (target == log_target::output) {
+        spdlog::flush_every(flush_interval);
+    }
     spdlog::set_default_logger(std::move(logger));
 }
 
+void end_log() {
+    spdlog::shutdown();
+}
+
 void log_debug(std::string_view event, log_fields fields) {
     write(spdlog::level::debug, event, fields);
 }
--- a/source/core/common/process.cpp
+++ b/source/core/common/process.cpp
@@ -20,7 +20,9 @@
 } // namespace
 
 bool prepare_process() {
-    const auto set = stop_signals();
+    auto set = stop_signals();
+    // A program that reads its settings again waits for it; others go on.
+    sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return sodium_init() >= 0 && curl_global_init(CURL_GLOBAL_DEFAULT) == 0;
--- a/source/core/common/process.h
+++ b/source/core/common/process.h
@@ -2,7 +2,7 @@
 
 namespace lycheegap::common {
 
-/// Blocks SIGTERM and SIGINT in this thread and all it starts later, ignores SIGPIPE and prepares the
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and all it starts later, ignores SIGPIPE and prepares the
 /// libraries that want a call before the first thread. Call it first in main.
 bool prepare_process();
 
--- /dev/null
+++ b/source/core/gateway/admission.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "call.h"
+#include "gateway_state.h"
+#include "refusal.h"
+
+namespace lycheegap::gateway {
+
+/// A request that may go to an endpoint. The pointers lie in `config`.
+struct admitted_call {
+    std::shared_ptr<const traffic::configuration> config;
+    const traffic::route* route{nullptr};
+    const traffic::team* team{nullptr};
+    std::string service;
+    /// Key of the object that the request concerns; empty when its route has no affinity.
+    std::string object;
+    /// Regions that may serve it; empty allows all.
+    std::vector<std::string> regions;
+    /// The final answer is due.
+    common::time_point answer_due;
+};
+
+/// Checks route, key, regions and rate, and picks the service. Does not wait.
+std::variant<refusal, admitted_call> admit_call(gateway_state& state, const call& it);
+
+/// Endpoint for the next attempt, or null.
+traffic::endpoint_ptr place_call(gateway_state& state, const admitted_call& it,
+                                 std::span<const std::string> tried);
+
+/// Whether the service's retry limit has room for one more second sending; counts it.
+bool take_repeat(gateway_state& state, std::string_view service);
+
+/// When a refused caller should come back.
+common::milliseconds retry_pause(const admitted_call& it);
+
+} // namespace lycheegap::gateway
--- /dev/null
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -0,0 +1,218 @@
+#include "endpoint_exchange.h"
+
+#include <charconv>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "core/transport/listen_socket.h"
+
+namespace lycheegap::gateway {
+
+namespace {
+
+constexpr std::uint32_t answer_head_limit = 65536;
+// Late answers to earlier requests that one exchange reads past.
+constexpr int stray_answers = 3;
+// Bytes that are sent unacknowledged this long break the connection. Longer than two round trips between regions
+// and one retransmission.
+constexpr int unacknowledged_ms = 1500;
+// Probes find a connection that went silent while the endpoint works: the first after one second, then each second.
+constexpr int probe_idle_s = 1;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 3;
+// Idle time for an endpoint that states none.
+constexpr common::milliseconds default_idle{4000};
+// Longest idle time in any case: the longer a connection idles, the likelier it went silent.
+constexpr common::milliseconds longest_idle{6000};
+// A request is on its way while the other side's timer runs.
+constexpr common::milliseconds idle_margin{1200};
+// A body longer than this is sent while the answer is awaited, since it may come before the body is read.
+constexpr std::size_t inline_body = 4096;
+
+void set_option(int fd, int level, int name, int value) {
+    // A refused option leaves the system's own, longer time-outs.
+    setsockopt(fd, level, name, &value, sizeof value);
+}
+
+void set_timeouts(int fd) {
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+}
+
+exchange_result ended(exchange_end end, std::string reason) {
+    return {end, {}, std::move(reason)};
+}
+
+exchange_end end_of(const endpoint_connection& connection, const error_code& ec) {
+    if (connection.cancelled) {
+        return exchange_end::cancelled;
+    }
+    return ec == beast::error::timeout ? exchange_end::timed_out : exchange_end::lost;
+}
+
+awaitable<bool> connect(const connection_ptr& connection, common::time_point deadline, std::string& reason) {
+    const auto address = transport::split_address(connection->peer);
+    error_code ec;
+    const auto ip = net::ip::make_address_v4(address ? address->ip : std::string(), ec);
+    if (ec) {
+        reason = "not an IP number and port";
+        co_return false;
+    }
+    const tcp::endpoint target(ip, static_cast<unsigned short>(address->port));
+    connection->stream.expires_at(deadline);
+    co_await connection->stream.async_connect(target, keep_error(ec));
+    if (ec || connection->cancelled) {
+        reason = "connect: " + ec.message();
+        co_return false;
+    }
+    connection->connected = true;
+    set_timeouts(connection->stream.socket().native_handle());
+    co_return true;
+}
+
+/// State of a body that is sent while the answer is read.
+struct running_write {
+    bool done{false};
+    error_code ec;
+    std::size_t sent{0};
+};
+
+awaitable<void> write_request(connection_ptr connection, std::shared_ptr<const exchange_request> request,
+                              std::shared_ptr<running_write> write) {
+    write->sent = co_await http::async_write(connection->stream, request->message, keep_error(write->ec));
+    write->done = true;
+}
+
+bool answers_request(const exchange_request& request, const response_message& answer) {
+    if (request.id_header.empty()) {
+        return true;
+    }
+    const auto echoed = answer.find(request.id_header);
+    const auto sent = request.message.find(request.id_header);
+    if (echoed == answer.end()) {
+        // Without an id nothing tells whose answer it is; a success must be certain.
+        return answer.result_int() >= 400;
+    }
+    return sent != request.message.end() && echoed->value() == sent->value();
+}
+
+common::time_point idle_limit(const response_message& answer) {
+    auto idle = default_idle;
+    const auto value = answer[http::field::keep_alive];
+    const auto at = value.find("timeout=");
+    if (at != beast::string_view::npos) {
+        int seconds = 0;
+        std::from_chars(value.data() + at + 8, value.data() + value.size(), seconds);
+        idle = std::chrono::seconds(seconds) - idle_margin;
+    }
+    return common::monotonic::now() + std::min(idle, longest_idle);
+}
+
+/// Reads until the answer to this request has come.
+awaitable<exchange_result> read_answer(const connection_ptr& connection, const exchange_request& request) {
+    bool strays = false;
+    for (int n = 0; n <= stray_answers; ++n) {
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(answer_head_limit);
+        parser.body_limit(request.body_limit);
+        parser.skip(request.message.method() == http::verb::head);
+        error_code ec;
+        co_await http::async_read(connection->stream, connection->input, parser, keep_error(ec));
+        if (ec) {
+            co_return ended(end_of(*connection, ec), "read: " + ec.message());
+        }
+        const bool closes = parser.get().need_eof() || !parser.get().keep_alive();
+        auto answer = parser.release();
+        if (answer.result_int() < 200) {
+            continue;
+        }
+        if (!answers_request(request, answer)) {
+            strays = true;
+            continue;
+        }
+        connection->reusable = !closes && !strays && connection->input.size() == 0;
+        connection->idle_until = idle_limit(answer);
+        co_return exchange_result{exchange_end::answered, std::move(answer), {}};
+    }
+    co_return ended(exchange_end::lost, "only answers to other requests came");
+}
+
+void close(endpoint_connection& connection) {
+    connection.reusable = false;
+    connection.connected = false;
+    connection.stream.close();
+}
+
+} // namespace
+
+awaitable<exchange_result> run_exchange(connection_ptr connection,
+                                        std::shared_ptr<const exchange_request> request) {
+    connection->reusable = false;
+    std::string reason;
+    if (!connection->connected) {
+        const auto due = std::min(request->connect_deadline, request->deadline);
+        const bool ready = co_await connect(connection, due, reason);
+        if (!ready) {
+            const auto end = connection->cancelled ? exchange_end::cancelled : exchange_end::not_sent;
+            close(*connection);
+            co_return ended(end, std::move(reason));
+        }
+    }
+    connection->stream.expires_at(request->deadline);
+    const auto write = std::make_shared<running_write>();
+    if (request->message.body().size() > inline_body) {
+        net::co_spawn(connection->strand, write_request(connection, request, write), net::detached);
+    } else {
+        co_await write_request(connection, request, write);
+        if (write->ec && write->sent == 0 && !connection->cancelled) {
+            close(*connection);
+            co_return ended(exchange_end::not_sent, "write: " + write->ec.message());
+        }
+    }
+    // After a failed write an answer may still lie in the socket, sent before the endpoint closed.
+    auto result = co_await read_answer(connection, *request);
+    if (!write->done || write->ec || !connection->reusable) {
+        close(*connection);
+    }
+    co_return result;
+}
+
+void cancel_exchange(const connection_ptr& connection) {
+    net::post(connection->strand, [connection] {
+        connection->cancelled = true;
+        connection->stream.close();
+    });
+}
+
+bool is_quiet(endpoint_connection& connection) {
+    char byte = 0;
+    const auto n = recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    // Bytes that come while nothing was asked belong to no request.
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::string_view end_name(exchange_end end) {
+    switch (end) {
+    case exchange_end::answered:
+        return "answered";
+    case exchange_end::not_sent:
+        return "not_sent";
+    case exchange_end::lost:
+        return "lost";
+    case exchange_end::timed_out:
+        return "timed_out";
+    case exchange_end::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+} // namespace lycheegap::gateway
--- /dev/null
+++ b/source/core/gateway/gateway_state.cpp
@@ -0,0 +1,174 @@
+#include "gateway_state.h"
+
+#include <algorithm>
+#include <mutex>
+
+#include "core/common/log.h"
+
+namespace lycheegap::gateway {
+
+namespace {
+
+using common::field;
+using common::monotonic;
+
+constexpr common::milliseconds one_second{1000};
+
+std::shared_ptr<fleet_view> copy_fleet(const gateway_state& state) {
+    return std::make_shared<fleet_view>(*state.fleet.view);
+}
+
+void replace_fleet(gateway_state& state, std::shared_ptr<fleet_view> next) {
+    next->names.clear();
+    for (const auto& [name, it] : next->members) {
+        next->names.push_back(name);
+    }
+    state.fleet.view = std::move(next);
+}
+
+std::string_view change_name(traffic::endpoint_change change) {
+    switch (change) {
+    case traffic::endpoint_change::added:
+        return "added";
+    case traffic::endpoint_change::replaced:
+        return "replaced";
+    case traffic::endpoint_change::updated:
+        return "updated";
+    case traffic::endpoint_change::none:
+        break;
+    }
+    return "none";
+}
+
+/// Longest cold time of any service.
+common::milliseconds longest_cold_time(gateway_state& state) {
+    const auto config = current_configuration(state);
+    common::milliseconds longest{0};
+    if (config) {
+        for (const auto& [name, it] : config->services) {
+            longest = std::max(longest, it.cold_time);
+        }
+    }
+    return longest;
+}
+
+} // namespace
+
+std::shared_ptr<const traffic::configuration> current_configuration(gateway_state& state) {
+    const std::lock_guard guard(state.routing.mutex);
+    return state.routing.config;
+}
+
+std::shared_ptr<const fleet_view> current_fleet(gateway_state& state) {
+    const std::lock_guard guard(state.fleet.mutex);
+    return state.fleet.view;
+}
+
+bool is_ready(gateway_state& state) {
+    if (state.stopping || !current_configuration(state)) {
+        return false;
+    }
+    const std::lock_guard guard(state.endpoints.mutex);
+    return !state.endpoints.set.by_id.empty();
+}
+
+bool apply_configuration(gateway_state& state, std::shared_ptr<const traffic::configuration> newer) {
+    std::int64_t before = 0;
+    {
+        const std::lock_guard guard(state.routing.mutex);
+        before = state.routing.config ? state.routing.config->version : 0;
+        // A read that answers late may bring an older version than the one in force.
+        if (state.routing.config && newer->version <= before) {
+            return false;
+        }
+        state.routing.config = newer;
+        state.routing.credits.clear();
+    }
+    common::log_info("configuration_in_force", {field("version", newer->version), field("before", before),
+                                                field("routes", newer->routes.size()),
+                                                field("teams", newer->teams.size())});
+    return true;
+}
+
+void apply_endpoint(gateway_state& state, traffic::endpoint_entry entry) {
+    const auto known = entry;
+    auto change = traffic::endpoint_change::none;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        change = traffic::put_endpoint(state.endpoints.set, std::move(entry), monotonic::now());
+    }
+    if (change == traffic::endpoint_change::none) {
+        return;
+    }
+    common::log_info("endpoint_changed",
+                     {field("endpoint", known.id), field("change", change_name(change)),
+                      field("service", known.service), field("address", known.address),
+                      field("domain", known.domain), field("leaving", known.leaving),
+                      field("slots", known.slots), field("cold_ms", known.cold_for.count())});
+}
+
+void drop_endpoint(gateway_state& state, std::string_view id, std::optional<common::time_point> due) {
+    bool removed = false;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        if (due) {
+            traffic::remove_endpoint_later(state.endpoints.set, id, *due);
+        } else {
+            removed = traffic::remove_endpoint(state.endpoints.set, id);
+        }
+    }
+    if (removed || due) {
+        common::log_info("endpoint_gone", {field("endpoint", id), field("at_once", removed)});
+    }
+}
+
+void apply_vacated(gateway_state& state, std::string_view domain, bool vacated) {
+    const auto cold_time = longest_cold_time(state);
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        traffic::set_vacated(state.endpoints.set, domain, vacated, monotonic::now(), cold_time);
+    }
+    common::log_info("domain_vacated", {field("domain", domain), field("vacated", vacated)});
+}
+
+void apply_member(gateway_state& state, traffic::fleet_member member) {
+    const auto name = member.name;
+    std::size_t hosts = 0;
+    {
+        const std::lock_guard guard(state.fleet.mutex);
+        auto next = copy_fleet(state);
+        next->members[name] = std::move(member);
+        replace_fleet(state, std::move(next));
+        hosts = state.fleet.view->names.size();
+    }
+    common::log_info("host_joined", {field("host", name), field("hosts", hosts)});
+}
+
+void drop_member(gateway_state& state, std::string_view name) {
+    std::size_t hosts = 0;
+    {
+        const std::lock_guard guard(state.fleet.mutex);
+        if (!state.fleet.view->members.contains(name)) {
+            return;
+        }
+        auto next = copy_fleet(state);
+        next->members.erase(next->members.find(name));
+        replace_fleet(state, std::move(next));
+        hosts = state.fleet.view->names.size();
+    }
+    common::log_info("host_left", {field("host", name), field("hosts", hosts)});
+}
+
+bool may_log(gateway_state& state) {
+    bool free = false;
+    {
+        const std::lock_guard guard(state.rates.mutex);
+        free = traffic::take_within(state.rates.lines, monotonic::now(), one_second, state.options.log_rate);
+    }
+    if (!free) {
+        common::count(state.metrics, "log_lines_dropped");
+    }
+    return free;
+}
+
+} // namespace lycheegap::gateway
--- a/source/core/settings/ini_settings.cpp
+++ b/source/core/settings/ini_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -22,8 +23,6 @@
 using common::fail;
 using common::step;
 
-constexpr std::string_view root_type = "lycheegap.schema.daemon_settings";
-
 const reflection::Schema& schema_data() {
     return *reflection::GetSchema(schema::schema_rootBinarySchema::data());
 }
@@ -58,7 +57,35 @@
     return value;
 }
 
-/// Checks a number against the schema's bounds and returns its JSON.
+bool is_real(const reflection::Field& field) {
+    return field.type()->base_type() == reflection::Double;
+}
+
+std::optional<double> parse_real(std::string_view text) {
+    double value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/// Checks a number with fractions against the schema's bounds and returns its JSON.
+std::optional<std::string> real_json(const reflection::Field& field, std::string_view text,
+                                     std::string_view where) {
+    const auto value = parse_real(text);
+    if (!value) {
+        return fail(step::check_settings, where, fmt::format("'{}' is not a number", text));
+    }
+    const auto least = parse_real(attribute(field, "min")).value_or(0);
+    const auto most = parse_real(attribute(field, "max")).value_or(std::numeric_limits<double>::max());
+    if (!(*value >= least && *value <= most)) {
+        return fail(step::check_settings, where, fmt::format("{} is outside {} to {}", *value, least, most));
+    }
+    return fmt::format("{}", *value);
+}
+
+/// Checks a whole number against the schema's bounds and returns its JSON.
 std::optional<std::string> number_json(const reflection::Field& field, std::string_view text,
                                        std::string_view where) {
     const auto value = parse_integer(text);
@@ -84,6 +111,9 @@
     if (field.type()->base_type() == reflection::String) {
         return string_json(text);
     }
+    if (is_real(field)) {
+        return real_json(field, text, where);
+    }
     return number_json(field, text, where);
 }
 
@@ -113,6 +143,10 @@
         if (field == nullptr) {
             return fail(step::check_settings, where, "unknown key");
         }
+        // A template writes an empty value where the platform states none.
+        if (node.data().empty()) {
+            continue;
+        }
         const auto value = value_json(*field, node.data(), where);
         if (!value) {
             return std::nullopt;
@@ -137,7 +171,13 @@
     return tree;
 }
 
-std::optional<std::string> settings_json(const ptree& tree, std::string_view file) {
+std::optional<std::string> settings_json(std::string_view root_type, std::string_view text,
+                                         std::string_view file) {
+    const auto read = read_ini(text, file);
+    if (!read) {
+        return std::nullopt;
+    }
+    const auto& tree = *read;
     const auto& root = *find_object(root_type);
     for (const auto& [name, keys] : tree) {
         if (!keys.data().empty()) {
@@ -164,7 +204,9 @@
     return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
 }
 
-std::optional<daemon_settings> check_values(daemon_settings parsed, std::string_view file) {
+/// Checks what the schema cannot express about the sections that all programs have.
+template <typename Settings>
+std::optional<Settings> check_values(Settings parsed, std::string_view file) {
     if (!is_ip_number(parsed.host->address)) {
         return fail(step::check_settings, place(file, "host", "address"),
                     fmt::format("'{}' is not an IP number", parsed.host->address));
@@ -187,7 +229,7 @@
     if (field.type()->base_type() == reflection::String) {
         return "";
     }
-    return std::to_string(field.default_integer());
+    return is_real(field) ? fmt::format("{}", field.default_real()) : std::to_string(field.default_integer());
 }
 
 std::string documentation(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* lines) {
@@ -208,35 +250,30 @@
                        attribute(field, "unit"), documentation(field.documentation()));
 }
 
-} // namespace
-
-std::optional<daemon_settings> parse_settings(std::string_view text, std::string_view file) {
-    const auto tree = read_ini(text, file);
-    if (!tree) {
-        return std::nullopt;
-    }
-    const auto json = settings_json(*tree, file);
+template <typename Table>
+std::optional<typename Table::NativeTableType> parse_as(std::string_view text, std::string_view file) {
+    const auto json = settings_json(Table::GetFullyQualifiedName(), text, file);
     if (!json) {
         return std::nullopt;
     }
-    auto parsed = schema::from_json<schema::daemon_settings>(*json, file);
+    auto parsed = schema::from_json<Table>(*json, file);
     if (!parsed) {
         return std::nullopt;
     }
     return check_values(std::move(*parsed), file);
 }
 
-std::optional<daemon_settings> load_settings(const std::string& file) {
+std::optional<std::string> read_file(const std::string& file) {
     std::ifstream stream(file);
     if (!stream) {
         return fail(step::read_settings, file, "cannot be opened");
     }
     std::ostringstream text;
     text << stream.rdbuf();
-    return parse_settings(text.str(), file);
+    return text.str();
 }
 
-std::string settings_reference() {
+std::string reference_of(std::string_view root_type) {
     std::string page;
     for (const auto* section : *find_object(root_type)->fields()) {
         const auto& object = section_object(*section);
@@ -251,4 +288,32 @@
     return page;
 }
 
+} // namespace
+
+std::optional<daemon_settings> parse_settings(std::string_view text, std::string_view file) {
+    return parse_as<schema::daemon_settings>(text, file);
+}
+
+std::optional<daemon_settings> load_settings(const std::string& file) {
+    const auto text = read_file(file);
+    return text ? parse_settings(*text, file) : std::nullopt;
+}
+
+std::string settings_reference() {
+    return reference_of(schema::daemon_settings::GetFullyQualifiedName());
+}
+
+std::optional<entry_settings> parse_entry_settings(std::string_view text, std::string_view file) {
+    return parse_as<schema::entry_settings>(text, file);
+}
+
+std::optional<entry_settings> load_entry_settings(const std::string& file) {
+    const auto text = read_file(file);
+    return text ? parse_entry_settings(*text, file) : std::nullopt;
+}
+
+std::string entry_settings_reference() {
+    return reference_of(schema::entry_settings::GetFullyQualifiedName());
+}
+
 } // namespace lycheegap::settings
--- /dev/null
+++ b/source/core/traffic/endpoint_set.cpp
@@ -0,0 +1,128 @@
+#include "endpoint_set.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheegap::traffic {
+
+namespace {
+
+// Reports of other hosts' load fade to a third in this time: requests last about as long.
+constexpr double report_fade_s = 0.6;
+// First pause for an endpoint that failed; it doubles with each further failure in a row.
+constexpr common::milliseconds first_avoidance{250};
+constexpr common::milliseconds longest_avoidance{4000};
+
+void add_to_service(endpoint_set& set, const endpoint_ptr& it) {
+    set.by_service[it->entry.service].push_back(it);
+}
+
+void drop_from_service(endpoint_set& set, const endpoint_ptr& it) {
+    auto& all = set.by_service[it->entry.service];
+    std::erase(all, it);
+}
+
+bool is_same_endpoint(const endpoint_entry& a, const endpoint_entry& b) {
+    return a.born == b.born && a.address == b.address && a.service == b.service;
+}
+
+} // namespace
+
+endpoint_change put_endpoint(endpoint_set& set, endpoint_entry entry, common::time_point now) {
+    const auto cold_until = now + entry.cold_for;
+    const auto found = set.by_id.find(entry.id);
+    if (found != set.by_id.end() && is_same_endpoint(found->second->entry, entry)) {
+        auto& known = *found->second;
+        const bool changed = known.entry.leaving != entry.leaving || known.entry.slots != entry.slots ||
+                             known.entry.domain != entry.domain || known.removal_due.has_value();
+        known.entry = std::move(entry);
+        known.removal_due.reset();
+        known.cold_until = cold_until;
+        return changed ? endpoint_change::updated : endpoint_change::none;
+    }
+    const bool replaces = found != set.by_id.end();
+    if (replaces) {
+        drop_from_service(set, found->second);
+    }
+    const auto made = std::make_shared<endpoint_state>();
+    made->entry = std::move(entry);
+    made->cold_until = cold_until;
+    set.by_id[made->entry.id] = made;
+    add_to_service(set, made);
+    return replaces ? endpoint_change::replaced : endpoint_change::added;
+}
+
+bool remove_endpoint(endpoint_set& set, std::string_view id) {
+    const auto found = set.by_id.find(id);
+    if (found == set.by_id.end()) {
+        return false;
+    }
+    drop_from_service(set, found->second);
+    set.by_id.erase(found);
+    return true;
+}
+
+void remove_endpoint_later(endpoint_set& set, std::string_view id, common::time_point due) {
+    const auto found = set.by_id.find(id);
+    if (found != set.by_id.end() && !found->second->removal_due) {
+        found->second->removal_due = due;
+    }
+}
+
+std::vector<std::string> expire_endpoints(endpoint_set& set, common::time_point now) {
+    std::vector<std::string> gone;
+    for (const auto& [id, it] : set.by_id) {
+        if (it->removal_due && *it->removal_due <= now) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        remove_endpoint(set, id);
+    }
+    return gone;
+}
+
+void set_vacated(endpoint_set& set, std::string_view domain, bool vacated, common::time_point now,
+                 common::milliseconds cold_time) {
+    if (vacated) {
+        set.vacated_domains.emplace(domain);
+        return;
+    }
+    const auto found = set.vacated_domains.find(domain);
+    if (found == set.vacated_domains.end()) {
+        return;
+    }
+    set.vacated_domains.erase(found);
+    for (const auto& [id, it] : set.by_id) {
+        if (it->entry.domain == domain) {
+            it->cold_until = std::max(it->cold_until, now + cold_time);
+        }
+    }
+}
+
+bool accepts_work(const endpoint_set& set, const endpoint_state& it) {
+    return !it.entry.leaving && !set.vacated_domains.contains(it.entry.domain);
+}
+
+double estimated_load(const endpoint_state& it, common::time_point now) {
+    const double own = it.in_flight;
+    if (!it.report) {
+        return own;
+    }
+    const double others = std::max(0, it.report->running + it.report->waiting - it.report->own_included);
+    const double age = std::max(0.0, common::seconds_between(it.report->at, now));
+    return own + others * std::exp(-age / report_fade_s);
+}
+
+void note_answer(endpoint_state& it) {
+    it.failures_in_row = 0;
+    it.avoided_until = {};
+}
+
+void note_failure(endpoint_state& it, common::time_point now) {
+    const auto pause = first_avoidance * (1 << std::min(it.failures_in_row, 6));
+    ++it.failures_in_row;
+    it.avoided_until = now + std::min<common::milliseconds>(pause, longest_avoidance);
+}
+
+} // namespace lycheegap::traffic
--- /dev/null
+++ b/source/core/traffic/endpoint_set.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "sliding_window.h"
+
+namespace lycheegap::traffic {
+
+/// What an endpoint says of itself where it registers.
+struct endpoint_entry {
+    std::string id;
+    std::string service;
+    /// "ip:port". May have belonged to another endpoint before.
+    std::string address;
+    std::string domain;
+    std::string region;
+    int slots{1};
+    bool leaving{false};
+    /// Unix ms of its start; another value under the same id is another endpoint.
+    std::int64_t born{0};
+    /// Rest of its cold time at the moment of the entry.
+    common::milliseconds cold_for{0};
+};
+
+/// Load that an endpoint reported in an answer.
+struct load_report {
+    int running{0};
+    int waiting{0};
+    common::time_point at;
+    /// Requests of this host that the report includes.
+    int own_included{0};
+};
+
+/// One endpoint as this host knows it.
+struct endpoint_state {
+    endpoint_entry entry;
+    common::time_point cold_until;
+    /// Requests of this host at the endpoint.
+    int in_flight{0};
+    std::optional<load_report> report;
+    /// Failed attempts since the last good answer.
+    int failures_in_row{0};
+    /// Preferred last until then.
+    common::time_point avoided_until;
+    /// Requests of the last second while it is cold.
+    sliding_window cold_sends;
+    /// The store removed its entry just after an outage; it goes for good then.
+    std::optional<common::time_point> removal_due;
+};
+
+using endpoint_ptr = std::shared_ptr<endpoint_state>;
+
+/// All endpoints by id, and the failure domains that must get no work.
+struct endpoint_set {
+    std::map<std::string, endpoint_ptr, std::less<>> by_id;
+    std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service;
+    std::set<std::string, std::less<>> vacated_domains;
+};
+
+enum class endpoint_change : std::uint8_t { none, added, updated, replaced };
+
+/// Takes a newer entry. An id with another start or address replaces the endpoint.
+endpoint_change put_endpoint(endpoint_set& set, endpoint_entry entry, common::time_point now);
+
+/// Removes an endpoint; false when it was not there.
+bool remove_endpoint(endpoint_set& set, std::string_view id);
+
+/// Removes the endpoint at `due` unless it registers again before.
+void remove_endpoint_later(endpoint_set& set, std::string_view id, common::time_point due);
+
+/// Removes what is due and returns the ids.
+std::vector<std::string> expire_endpoints(endpoint_set& set, common::time_point now);
+
+/// Marks a domain as vacated, or takes it back; endpoints taken back count as cold for `cold_time`.
+void set_vacated(endpoint_set& set, std::string_view domain, bool vacated, common::time_point now,
+                 common::milliseconds cold_time);
+
+/// Whether new work may go to the endpoint, apart from its load.
+bool accepts_work(const endpoint_set& set, const endpoint_state& it);
+
+/// Requests that the endpoint has, running and waiting, as far as this host can tell: its own, and what the
+/// last report showed of others, which fades with its age.
+double estimated_load(const endpoint_state& it, common::time_point now);
+
+/// Notes how an attempt ended.
+void note_answer(endpoint_state& it);
+void note_failure(endpoint_state& it, common::time_point now);
+
+} // namespace lycheegap::traffic
--- /dev/null
+++ b/source/core/traffic/placement.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "endpoint_set.h"
+
+namespace lycheegap::traffic {
+
+/// Who asks for an endpoint and for what.
+struct placement_request {
+    std::string_view service;
+    /// Key of the object that the request concerns; empty when there is none.
+    std::string_view object;
+    /// Region of this host.
+    std::string_view region;
+    /// Regions that may serve the request; empty allows all.
+    std::span<const std::string> regions;
+    /// Endpoints that have been tried.
+    std::span<const std::string> tried;
+    /// Members of the fleet by name, for the choice of the few hosts that may use a cold endpoint.
+    std::span<const std::string> hosts;
+    std::string_view host;
+    /// Requests of one second that a cold endpoint may get from the whole fleet.
+    double cold_limit{0};
+};
+
+/// Endpoint for a request, or null when none accepts work. Requests for one object go to the same few endpoints
+/// on every host, by rendezvous hashing, as long as these have free slots. Counts a request to a cold endpoint.
+endpoint_ptr place_request(endpoint_set& set, const placement_request& wanted, common::time_point now);
+
+/// Whether this host is one of the few that may send to a cold endpoint; all hosts agree on them.
+bool may_use_cold(const placement_request& wanted, std::string_view endpoint_id);
+
+/// Whether some endpoint that the request may use has a free slot.
+bool has_free_slot(const endpoint_set& set, const placement_request& wanted, common::time_point now);
+
+} // namespace lycheegap::traffic
