Keep objects on two endpoints and refuse when these are crowded

A request whose three endpoints looked full went to the least loaded one, where it ran cold (3.3 times the work) and pushed other objects out; queues of 27 then made every answer late. Ruled out: descriptors (the host that reached its limit did so after the collapse), rates (429 are the hot team's). Change: two ranks an object, load of other hosts smoothed over reports, wait at a warm endpoint up to 1.4 times its slots, cold work only where an endpoint looks spare, else a refusal at once. A request whose caller has closed is not passed on (GONE).

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -125,10 +125,7 @@
     const auto now = monotonic::now();
     const std::lock_guard guard(state.endpoints.mutex);
     if (report) {
-        endpoint.report = *report;
-        endpoint.report->at = now;
-        // The request that was answered just now no longer runs; the report may still count it.
-        endpoint.report->own_included = endpoint.in_flight;
+        traffic::note_report(endpoint, *report, now);
     }
     --endpoint.in_flight;
     if (result.kind == attempt_kind::answered) {
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -171,6 +171,12 @@
     }
 }
 
+/// Whether the caller has closed the connection and nothing else lies in the socket.
+bool has_left(caller_connection& it) {
+    char byte = 0;
+    return it.input.size() == 0 && recv(it.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 awaitable<void> read_calls(gateway_state& state, caller_ptr it) {
     while (!it->gone && !it->ending) {
         if (it->calls.size() >= pipeline_depth) {
@@ -188,6 +194,12 @@
             // What was read behind the last answer counts as not read.
             break;
         }
+        if (has_left(*it)) {
+            // The request waited unread until its caller gave up.
+            common::count(state.metrics, "requests_left_unread");
+            abandon_all(*it);
+            break;
+        }
         it->ending = !read->request.keep_alive();
         add_call(*it, read);
         ++state.calls;
--- a/source/core/gateway/message_headers.cpp
+++ b/source/core/gateway/message_headers.cpp
@@ -167,7 +167,7 @@
     if (!running || !waiting || *running < 0 || *waiting < 0 || *running + *waiting > 1'000'000) {
         return std::nullopt;
     }
-    return traffic::load_report{static_cast<int>(*running), static_cast<int>(*waiting), {}, 0};
+    return traffic::load_report{static_cast<int>(*running), static_cast<int>(*waiting)};
 }
 
 } // namespace lycheegap::gateway
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Reports of other hosts' load fade to a third in this time: requests last about as long.
-constexpr double report_fade_s = 0.6;
+// Reports of other hosts' load fade to a third in this time: an endpoint that is not used tells nothing.
+constexpr double report_fade_s = 1.0;
+// Reports are smoothed over this time: single ones show chance, their mean shows a crowded endpoint.
+constexpr double report_smoothing_s = 0.25;
 // First pause for an endpoint that failed; it doubles with each further failure in a row.
 constexpr common::milliseconds first_avoidance{250};
 constexpr common::milliseconds longest_avoidance{4000};
@@ -106,12 +108,24 @@
 
 double estimated_load(const endpoint_state& it, common::time_point now) {
     const double own = it.in_flight;
-    if (!it.report) {
+    if (!it.others) {
         return own;
     }
-    const double others = std::max(0, it.report->running + it.report->waiting - it.report->own_included);
-    const double age = std::max(0.0, common::seconds_between(it.report->at, now));
-    return own + others * std::exp(-age / report_fade_s);
+    const double age = std::max(0.0, common::seconds_between(it.others->at, now));
+    return own + it.others->requests * std::exp(-age / report_fade_s);
+}
+
+void note_report(endpoint_state& it, const load_report& report, common::time_point now) {
+    // The answered request has left the endpoint; it is still in flight here.
+    const double seen = std::max(0, report.running + report.waiting - std::max(0, it.in_flight - 1));
+    if (!it.others) {
+        it.others = foreign_load{seen, now};
+        return;
+    }
+    const double age = std::max(0.0, common::seconds_between(it.others->at, now));
+    const double weight = 1 - std::exp(-std::max(age, 0.01) / report_smoothing_s);
+    it.others->requests += (seen - it.others->requests) * weight;
+    it.others->at = now;
 }
 
 void note_answer(endpoint_state& it) {
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -35,9 +35,12 @@
 struct load_report {
     int running{0};
     int waiting{0};
+};
+
+/// Requests of other hosts at an endpoint, smoothed over the reports.
+struct foreign_load {
+    double requests{0};
     common::time_point at;
-    /// Requests of this host that the report includes.
-    int own_included{0};
 };
 
 /// One endpoint as this host knows it.
@@ -46,7 +49,7 @@
     common::time_point cold_until;
     /// Requests of this host at the endpoint.
     int in_flight{0};
-    std::optional<load_report> report;
+    std::optional<foreign_load> others;
     /// Failed attempts since the last good answer.
     int failures_in_row{0};
     /// Preferred last until then.
@@ -91,6 +94,9 @@
 /// last report showed of others, which fades with its age.
 double estimated_load(const endpoint_state& it, common::time_point now);
 
+/// Takes in a report that came with the answer to a request that still counts as in flight.
+void note_report(endpoint_state& it, const load_report& report, common::time_point now);
+
 /// Notes how an attempt ended.
 void note_answer(endpoint_state& it);
 void note_failure(endpoint_state& it, common::time_point now);
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "core/common/digest.h"
@@ -13,8 +14,13 @@
 constexpr std::size_t cold_hosts = 2;
 // Part of the cold limit that is used: hosts may differ for a moment on who the few are.
 constexpr double cold_use = 0.6;
-// Endpoints that serve one object before load alone decides.
-constexpr std::size_t warm_ranks = 3;
+// Endpoints that serve one object. More would leave each of them cold for most objects.
+constexpr std::size_t warm_ranks = 2;
+// Load up to which a warm endpoint takes more than it has slots: a short wait there is better than cold work, and a
+// longer one would make every answer late.
+constexpr double crowded = 1.4;
+// Load up to which an endpoint that is not warm for the object counts as free.
+constexpr double spare = 0.75;
 constexpr common::milliseconds one_second{1000};
 
 struct candidate {
@@ -66,30 +72,45 @@
     return found;
 }
 
-bool has_room(const candidate& it, common::time_point now) {
-    return it.load < it.endpoint->entry.slots && it.endpoint->avoided_until <= now;
+double relative_load(const candidate& it) {
+    return it.load / std::max(1, it.endpoint->entry.slots);
 }
 
-double relative_load(const candidate& it, common::time_point now) {
-    const double avoided = it.endpoint->avoided_until > now ? 1.0 : 0.0;
-    return avoided + it.load / std::max(1, it.endpoint->entry.slots);
+bool is_avoided(const candidate& it, common::time_point now) {
+    return it.endpoint->avoided_until > now;
 }
 
-const candidate& least_loaded(const std::vector<candidate>& all, common::time_point now) {
-    return *std::min_element(all.begin(), all.end(), [&](const candidate& a, const candidate& b) {
-        return relative_load(a, now) < relative_load(b, now);
+/// Least loaded one, avoided ones last; null when its load is not below `limit`.
+const candidate* least_loaded(std::span<const candidate> all, common::time_point now, double limit) {
+    const auto least = std::min_element(all.begin(), all.end(), [&](const candidate& a, const candidate& b) {
+        return std::pair(is_avoided(a, now), relative_load(a)) < std::pair(is_avoided(b, now), relative_load(b));
     });
+    return least != all.end() && relative_load(*least) < limit ? &*least : nullptr;
 }
 
-const candidate& choose(std::vector<candidate>& all, const placement_request& wanted, common::time_point now) {
+/// First of the warm ones with a free slot.
+const candidate* first_free(std::span<const candidate> warm, common::time_point now) {
+    const auto found = std::find_if(warm.begin(), warm.end(), [&](const candidate& it) {
+        return !is_avoided(it, now) && it.load + 1 <= it.endpoint->entry.slots;
+    });
+    return found != warm.end() ? &*found : nullptr;
+}
+
+const candidate* choose(std::span<candidate> all, const placement_request& wanted, common::time_point now) {
     if (wanted.object.empty()) {
-        return least_loaded(all, now);
+        return least_loaded(all, now, crowded);
     }
-    const auto last = all.begin() + static_cast<std::ptrdiff_t>(std::min(warm_ranks, all.size()));
-    std::partial_sort(all.begin(), last, all.end(),
+    const auto ranks = std::min(warm_ranks, all.size());
+    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(ranks), all.end(),
                       [](const candidate& a, const candidate& b) { return a.rank > b.rank; });
-    const auto warm = std::find_if(all.begin(), last, [&](const candidate& it) { return has_room(it, now); });
-    return warm != last ? *warm : least_loaded(all, now);
+    const auto warm = all.first(ranks);
+    if (const auto* free = first_free(warm, now)) {
+        return free;
+    }
+    if (const auto* short_wait = least_loaded(warm, now, crowded)) {
+        return short_wait;
+    }
+    return least_loaded(all, now, spare);
 }
 
 } // namespace
@@ -108,7 +129,11 @@
     if (all.empty()) {
         return nullptr;
     }
-    const auto chosen = choose(all, wanted, now).endpoint;
+    const auto* found = choose(all, wanted, now);
+    if (found == nullptr) {
+        return nullptr;
+    }
+    const auto chosen = found->endpoint;
     if (chosen->cold_until > now) {
         chosen->cold_sends.moments.push_back(now);
     }
