Close callers' connections before descriptors run out

Callers that retry leave their old connections open for the idle time; three hosts of one domain ran out of descriptors, accept failed for 6 s, and requests were read after their callers had left. Ruled out: the processor (0.03 of 0.14 cores). Change: beyond half of the limit answers close the connection, beyond three quarters the longest idle ones are closed.

--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "caller_connection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <mutex>
 
 #include <boost/asio/write.hpp>
@@ -206,11 +207,17 @@
         net::co_spawn(it->strand, serve_call(state, it, read), net::detached);
     }
     co_await drain_input(*it);
+    --state.open_callers;
+}
+
+/// Callers that retry leave their old connections open, and descriptors run out under a burst.
+bool is_crowded(const gateway_state& state) {
+    return state.open_callers > state.options.caller_limit / 2;
 }
 
 /// Whether the connection closes with the answer to its first call.
 bool closes_now(const gateway_state& state, const caller_connection& it) {
-    return it.calls.size() == 1 && (it.ending || state.stopping);
+    return it.calls.size() == 1 && (it.ending || state.stopping || is_crowded(state));
 }
 
 awaitable<bool> write_first(gateway_state& state, caller_connection& it) {
@@ -231,6 +238,7 @@
         co_return false;
     }
     if (it.calls.empty()) {
+        it.idle_since = monotonic::now().time_since_epoch().count();
         it.idle = true;
         set_read_due(it, limits_of(state).idle_time);
     } else {
@@ -265,6 +273,8 @@
     error_code ec;
     it->socket.set_option(tcp::no_delay(true), ec);
     set_read_due(*it, limits_of(state).idle_time);
+    it->idle_since = monotonic::now().time_since_epoch().count();
+    ++state.open_callers;
     {
         const std::lock_guard guard(state.callers.mutex);
         state.callers.open.push_back(it);
@@ -291,6 +301,20 @@
     return open;
 }
 
+/// The longest idle connections, as many as are open beyond three quarters of the limit.
+std::vector<caller_ptr> surplus(const gateway_state& state, const std::vector<caller_ptr>& open) {
+    const int allowed = state.options.caller_limit * 3 / 4;
+    std::vector<caller_ptr> idle;
+    if (state.open_callers <= allowed) {
+        return idle;
+    }
+    std::copy_if(open.begin(), open.end(), std::back_inserter(idle), [](const auto& it) { return it->idle.load(); });
+    std::sort(idle.begin(), idle.end(),
+              [](const auto& a, const auto& b) { return a->idle_since.load() < b->idle_since.load(); });
+    idle.resize(std::min(idle.size(), static_cast<std::size_t>(state.open_callers - allowed)));
+    return idle;
+}
+
 void close_overdue(const caller_ptr& it, bool close_idle) {
     const bool overdue = is_overdue(*it, monotonic::now());
     const bool unused = close_idle && it->calls.empty() && !it->ending;
@@ -327,11 +351,15 @@
 
 void sweep_callers(gateway_state& state, bool close_idle) {
     const auto now = monotonic::now();
-    for (const auto& it : open_callers(state)) {
+    const auto open = open_callers(state);
+    for (const auto& it : open) {
         if (is_overdue(*it, now) || (close_idle && it->idle)) {
             net::post(it->strand, [it, close_idle] { close_overdue(it, close_idle); });
         }
     }
+    for (const auto& it : surplus(state, open)) {
+        net::post(it->strand, [it] { close_overdue(it, true); });
+    }
 }
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -27,6 +27,8 @@
     bool gone{false};
     /// Nothing has arrived and nothing is under way.
     std::atomic<bool> idle{true};
+    /// Moment from which it has been idle; ticks of the monotonic clock.
+    std::atomic<common::monotonic::rep> idle_since{0};
     /// The connection is closed when the next byte has not come by then; ticks of the monotonic clock.
     std::atomic<common::monotonic::rep> read_due{0};
 };
@@ -36,7 +38,8 @@
 /// Accepts connections until the listener is closed.
 awaitable<void> accept_callers(gateway_state& state, std::shared_ptr<tcp::acceptor> listener);
 
-/// Closes connections that have been silent for too long; at a planned stop all idle ones.
+/// Closes connections that have been silent for too long, and the longest idle ones when too many are open; at a
+/// planned stop all idle ones.
 void sweep_callers(gateway_state& state, bool close_idle);
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -52,6 +52,8 @@
     double cold_slack{0};
     common::milliseconds stop_time{6000};
     int workers{2};
+    /// Connections of callers that may be open; beyond half of it answers ask callers to close theirs.
+    int caller_limit{1024};
     /// Lines a second that requests may log.
     double log_rate{200};
 };
@@ -124,6 +126,8 @@
     common::metrics_table metrics;
     /// A planned stop has begun: no new work is asked for.
     std::atomic<bool> stopping{false};
+    /// Open connections of callers.
+    std::atomic<int> open_callers{0};
     /// Requests that were read and are not answered.
     std::atomic<int> calls{0};
     std::atomic<std::uint64_t> next_call{1};
