--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -13,6 +13,8 @@
     catalog_table = 10,
     /// gateway: the configuration in force and the turns of split routes.
     routing_table = 12,
+    /// gateway: what the store holds, and hosts that wait for changes of it.
+    mirror_table = 15,
     membership_table = 20,
     /// gateway: hosts of the fleet.
     fleet_table = 22,
--- a/source/core/common/log.h
+++ b/source/core/common/log.h
@@ -27,7 +27,8 @@
 enum class log_target : std::uint8_t {
     /// Standard error, line by line.
     error,
-    /// Standard output, by a thread of its own: a line waits in a bounded queue, and the oldest one is dropped when
+    /// Standard output, by a thread of its own: a line waits in a bounded queue, and the oldest one is
+    /// dropped when
     /// that is full.
     output,
 };
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -24,22 +24,29 @@
 constexpr int pause_divisor = 2;
 constexpr milliseconds shortest_pause{100};
 
-/// Part of a team's rate that this host may use: the same for each host.
+/// Part of a team's rate that this host may use. A host whose entry has lapsed is not counted by the others,
+/// and takes no more than an equal part.
 double rate_part(gateway_state& state) {
     const auto fleet = current_fleet(state);
-    return 1.0 / static_cast<double>(std::max<std::size_t>(fleet->names.size(), 1));
+    if (fleet->own_part > 0) {
+        return fleet->own_part;
+    }
+    return 1.0 / static_cast<double>(fleet->names.size() + 1);
 }
 
 bool take_team_rate(gateway_state& state, const traffic::team& from, milliseconds& pause) {
-    const double part = rate_part(state);
-    const auto now = monotonic::now();
-    const std::lock_guard guard(state.rates.mutex);
-    auto& share = state.rates.teams[from.name];
-    if (traffic::take_rate(share, from, state.options.rates, part, now)) {
+    if (from.rate <= 0) {
         return true;
     }
-    pause = traffic::until_room(share.passed, now, state.options.rates.window);
-    return false;
+    const double part = rate_part(state);
+    const auto whole = traffic::fleet_limit(from, state.options.rates);
+    const traffic::rate_limit own{whole.rate * part, whole.capacity * part};
+    const std::lock_guard guard(state.rates.mutex);
+    auto& bucket =
+        state.rates.teams.try_emplace(from.name, traffic::rate_bucket{0, state.started_at}).first->second;
+    const bool taken = traffic::take_token(bucket, own, monotonic::now());
+    pause = traffic::until_token(bucket, own);
+    return taken;
 }
 
 /// Service whose share of the route lags most behind its weight.
@@ -66,7 +73,8 @@
     return it.arrived_at + std::max(longest - answer_margin, milliseconds{1});
 }
 
-std::optional<refusal> check_key(const traffic::configuration& config, const call& it, admitted_call& admitted) {
+std::optional<refusal> check_key(const traffic::configuration& config, const call& it,
+                                 admitted_call& admitted) {
     if (config.teams.empty()) {
         return std::nullopt;
     }
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -18,10 +18,11 @@
 
 constexpr unsigned int status_misdirected = 421;
 constexpr unsigned int first_server_error = 500;
-// A dark endpoint answers no connect: two round trips between the farthest regions and one lost packet pass first.
+// A dark endpoint answers no connect: two round trips between the farthest regions and one lost packet pass
+// first.
 constexpr milliseconds connect_time{450};
-// Work that must not be repeated goes on a kept connection only this long after its last answer: an endpoint that
-// closes the connection at the same moment would leave the outcome unknown.
+// Work that must not be repeated goes on a kept connection only this long after its last answer: an endpoint
+// that closes the connection at the same moment would leave the outcome unknown.
 constexpr milliseconds fresh_idle{2500};
 // Idle connections kept for one endpoint.
 constexpr std::size_t idle_limit = 8;
@@ -93,10 +94,11 @@
     made->connect_deadline = now + connect_time;
     made->id_header = names.request_id;
     const auto left = std::chrono::duration_cast<milliseconds>(admitted.answer_due - now);
-    made->message = onward_request(it.request, names,
-                                   {.team = admitted.team == nullptr ? std::string_view() : admitted.team->name,
-                                    .target = entry.id,
-                                    .time_left = left});
+    made->message =
+        onward_request(it.request, names,
+                       {.team = admitted.team == nullptr ? std::string_view() : admitted.team->name,
+                        .target = entry.id,
+                        .time_left = left});
     return made;
 }
 
@@ -140,11 +142,11 @@
     if (result.kind == attempt_kind::answered || !may_log(state)) {
         return;
     }
-    common::log_info("attempt_failed",
-                     {field("request_id", to_view(it.request[state.options.headers.request_id])),
-                      field("endpoint", entry.id), field("address", entry.address),
-                      field("kept_connection", kept), field("may_have_run", result.kind != attempt_kind::not_run),
-                      field("reason", result.reason)});
+    common::log_info(
+        "attempt_failed",
+        {field("request_id", to_view(it.request[state.options.headers.request_id])),
+         field("endpoint", entry.id), field("address", entry.address), field("kept_connection", kept),
+         field("may_have_run", result.kind != attempt_kind::not_run), field("reason", result.reason)});
 }
 
 } // namespace
@@ -160,8 +162,8 @@
         ++endpoint->in_flight;
     }
     it->exchange = connection;
-    auto exchange = co_await net::co_spawn(connection->strand, run_exchange(connection, request),
-                                           net::use_awaitable);
+    auto exchange =
+        co_await net::co_spawn(connection->strand, run_exchange(connection, request), net::use_awaitable);
     it->exchange.reset();
     keep_connection(state, entry, connection);
     const auto end = exchange.end;
--- a/source/core/gateway/call.h
+++ b/source/core/gateway/call.h
@@ -9,7 +9,8 @@
 
 namespace lycheegap::gateway {
 
-/// One request of a caller, from its arrival to its answer. Touched on the strand of the caller's connection only.
+/// One request of a caller, from its arrival to its answer. Touched on the strand of the caller's connection
+/// only.
 struct call {
     request_message request;
     common::time_point arrived_at;
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -308,7 +308,8 @@
     if (state.open_callers <= allowed) {
         return idle;
     }
-    std::copy_if(open.begin(), open.end(), std::back_inserter(idle), [](const auto& it) { return it->idle.load(); });
+    std::copy_if(open.begin(), open.end(), std::back_inserter(idle),
+                 [](const auto& it) { return it->idle.load(); });
     std::sort(idle.begin(), idle.end(),
               [](const auto& a, const auto& b) { return a->idle_since.load() < b->idle_since.load(); });
     idle.resize(std::min(idle.size(), static_cast<std::size_t>(state.open_callers - allowed)));
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -38,8 +38,8 @@
 /// Accepts connections until the listener is closed.
 awaitable<void> accept_callers(gateway_state& state, std::shared_ptr<tcp::acceptor> listener);
 
-/// Closes connections that have been silent for too long, and the longest idle ones when too many are open; at a
-/// planned stop all idle ones.
+/// Closes connections that have been silent for too long, and the longest idle ones when too many are open;
+/// at a planned stop all idle ones.
 void sweep_callers(gateway_state& state, bool close_idle);
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -17,10 +17,11 @@
 constexpr std::uint32_t answer_head_limit = 65536;
 // Late answers to earlier requests that one exchange reads past.
 constexpr int stray_answers = 3;
-// Bytes that are sent unacknowledged this long break the connection. Longer than two round trips between regions
-// and one retransmission.
+// Bytes that are sent unacknowledged this long break the connection. Longer than two round trips between
+// regions and one retransmission.
 constexpr int unacknowledged_ms = 1500;
-// Probes find a connection that went silent while the endpoint works: the first after one second, then each second.
+// Probes find a connection that went silent while the endpoint works: the first after one second, then each
+// second.
 constexpr int probe_idle_s = 1;
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 3;
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -31,8 +31,8 @@
     std::string reason;
 };
 
-/// A connection to an endpoint or to the store. Touched on its strand only, except `peer` and `idle_until`, which
-/// its holder owns while it is idle.
+/// A connection to an endpoint or to the store. Touched on its strand only, except `peer` and `idle_until`,
+/// which its holder owns while it is idle.
 struct endpoint_connection {
     explicit endpoint_connection(const connection_strand& executor) : strand(executor), stream(executor) {}
 
@@ -61,8 +61,10 @@
     std::uint64_t body_limit{64U << 20U};
 };
 
-/// Sends a request and reads its answer. Runs on the connection's strand. Answers to other requests are dropped.
-awaitable<exchange_result> run_exchange(connection_ptr connection, std::shared_ptr<const exchange_request> request);
+/// Sends a request and reads its answer. Runs on the connection's strand. Answers to other requests are
+/// dropped.
+awaitable<exchange_result> run_exchange(connection_ptr connection,
+                                        std::shared_ptr<const exchange_request> request);
 
 /// Ends the running exchange and closes the connection; from any thread.
 void cancel_exchange(const connection_ptr& connection);
--- /dev/null
+++ b/source/core/gateway/fleet_link.cpp
@@ -0,0 +1,84 @@
+#include "fleet_link.h"
+
+#include <algorithm>
+
+#include <boost/asio/this_coro.hpp>
+
+#include "core/common/log.h"
+#include "core/schema/peer_codec.h"
+#include "core/transport/listen_socket.h"
+
+namespace lycheegap::gateway {
+
+namespace {
+
+using common::field;
+using common::milliseconds;
+
+// Workers that answer other hosts; answers are short.
+constexpr int answer_workers = 1;
+// Longest wait that a question may ask for.
+constexpr int longest_wait_ms = 5000;
+
+void answer_question(gateway_state& state, schema::byte_view message,
+                     const transport::peer_responder& respond) {
+    const auto read = schema::decode<schema::peer_message>(message, "host");
+    if (read && read->body.type == schema::peer_body::mirror_question) {
+        const auto& question = *read->body.Asmirror_question();
+        const milliseconds wait{std::clamp(question.wait, 0, longest_wait_ms)};
+        ask_mirror(state.mirror, question.after, wait, respond);
+        return;
+    }
+    common::log_warning("peer_message_refused", {field("reason", read ? "unexpected" : "unreadable")});
+    schema::peer_refusal_t refused;
+    refused.step = "decode";
+    refused.text = "not a question that this host answers";
+    respond(schema::encode_peer(std::move(refused)));
+}
+
+/// Joins the peer thread's reply with the coroutine that waits for it.
+struct pending_reply {
+    explicit pending_reply(const net::any_io_executor& executor) : timer(executor) {}
+
+    net::steady_timer timer;
+    bool done{false};
+    std::optional<schema::bytes> answer;
+};
+
+} // namespace
+
+std::unique_ptr<fleet_link> open_fleet_link(gateway_state& state, const std::string& ip, int port,
+                                            const std::string& secret) {
+    auto made = std::make_unique<fleet_link>();
+    made->pool = std::make_unique<common::worker_pool>(answer_workers);
+    made->peers = transport::start_peer_link({ip, port, secret}, *made->pool,
+                                             [&state](schema::byte_view message, const auto& respond) {
+                                                 answer_question(state, message, respond);
+                                             });
+    if (!made->peers) {
+        return nullptr;
+    }
+    made->address = transport::join_address(ip, made->peers->port());
+    return made;
+}
+
+awaitable<std::optional<schema::bytes>> ask_host(fleet_link& link, std::string address, schema::bytes message,
+                                                 common::time_point deadline) {
+    const auto executor = co_await net::this_coro::executor;
+    const auto pending = std::make_shared<pending_reply>(executor);
+    pending->timer.expires_at(deadline);
+    link.peers->call(std::move(address), std::move(message), deadline, [pending, executor](auto answer) {
+        net::post(executor, [pending, answer = std::move(answer)]() mutable {
+            pending->done = true;
+            pending->answer = std::move(answer);
+            pending->timer.cancel();
+        });
+    });
+    while (!pending->done && common::monotonic::now() < deadline) {
+        error_code ec;
+        co_await pending->timer.async_wait(keep_error(ec));
+    }
+    co_return std::move(pending->answer);
+}
+
+} // namespace lycheegap::gateway
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -17,9 +17,9 @@
 using common::milliseconds;
 using common::monotonic;
 
-constexpr milliseconds sweep_interval{500};
-// Planned stop, in parts of the stop time: callers hear of it and open no more connections; then idle connections
-// are closed; the rest is for requests under way.
+constexpr milliseconds sweep_interval{250};
+// Planned stop, in parts of the stop time: callers hear of it and open no more connections; then idle
+// connections are closed; the rest is for requests under way.
 constexpr double accept_part = 0.35;
 constexpr double idle_part = 0.25;
 constexpr double answer_part = 0.94;
@@ -31,6 +31,7 @@
         co_await wait_until(timer, monotonic::now() + sweep_interval);
         sweep_callers(state, false);
         sweep_connections(state);
+        expire_waiters(state.mirror);
         std::vector<std::string> gone;
         {
             const std::lock_guard guard(state.endpoints.mutex);
@@ -104,17 +105,20 @@
     const auto length = state.options.stop_time;
     state.stopping = true;
     common::log_info("stop_begun", {field("calls", state.calls.load())});
-    net::co_spawn(state.io, run_at(state, now + part_of(length, idle_part), [&state] { sweep_callers(state, true); }),
-                  net::detached);
-    net::co_spawn(state.io, run_at(state, now + part_of(length, accept_part),
-                                   [listener = running.listener, &state] {
-                                       close_listener(listener);
-                                       sweep_callers(state, true);
-                                   }),
+    net::co_spawn(state.io,
+                  run_at(state, now + part_of(length, idle_part), [&state] { sweep_callers(state, true); }),
                   net::detached);
     net::co_spawn(state.io,
-                  end_when_idle(state, now + part_of(length, accept_part), now + part_of(length, answer_part)),
+                  run_at(state, now + part_of(length, accept_part),
+                         [listener = running.listener, &state] {
+                             close_listener(listener);
+                             sweep_callers(state, true);
+                         }),
                   net::detached);
+    net::co_spawn(
+        state.io,
+        end_when_idle(state, now + part_of(length, accept_part), now + part_of(length, answer_part)),
+        net::detached);
     for (auto& it : running.workers) {
         it.join();
     }
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -23,6 +23,7 @@
     for (const auto& [name, it] : next->members) {
         next->names.push_back(name);
     }
+    next->own_part = traffic::expected_part(next->members, state.options.host);
     state.fleet.view = std::move(next);
 }
 
@@ -84,9 +85,9 @@
         state.routing.config = newer;
         state.routing.credits.clear();
     }
-    common::log_info("configuration_in_force", {field("version", newer->version), field("before", before),
-                                                field("routes", newer->routes.size()),
-                                                field("teams", newer->teams.size())});
+    common::log_info("configuration_in_force",
+                     {field("version", newer->version), field("before", before),
+                      field("routes", newer->routes.size()), field("teams", newer->teams.size())});
     return true;
 }
 
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -17,6 +17,7 @@
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
 #include "net.h"
+#include "state_mirror.h"
 
 namespace lycheegap::gateway {
 
@@ -73,6 +74,8 @@
     traffic::fleet_members members;
     /// Names of all members in order.
     std::vector<std::string> names;
+    /// This host's part of all callers; 0 while it is not a member.
+    double own_part{0};
 };
 
 struct fleet_table {
@@ -82,7 +85,7 @@
 
 struct rate_table {
     common::ranked_mutex mutex{common::lock_rank::rate_table};
-    std::map<std::string, traffic::rate_share, std::less<>> teams;
+    std::map<std::string, traffic::rate_bucket, std::less<>> teams;
     /// Log lines of the last second.
     traffic::sliding_window lines;
 };
@@ -115,8 +118,10 @@
     explicit gateway_state(gateway_options chosen) : options(std::move(chosen)) {}
 
     gateway_options options;
+    common::time_point started_at{common::monotonic::now()};
     net::io_context io;
     routing_table routing;
+    mirror_table mirror;
     fleet_table fleet;
     rate_table rates;
     retry_table retries;
--- a/source/core/gateway/message_headers.cpp
+++ b/source/core/gateway/message_headers.cpp
@@ -60,8 +60,8 @@
 
 /// Headers that this host sets itself, whatever the caller sent.
 bool is_own(std::string_view name, const header_names& names) {
-    return same_text(name, "authorization") || same_text(name, names.team) ||
-           same_text(name, names.target) || same_text(name, names.deadline);
+    return same_text(name, "authorization") || same_text(name, names.team) || same_text(name, names.target) ||
+           same_text(name, names.deadline);
 }
 
 std::optional<std::int64_t> whole_number(std::string_view text) {
--- a/source/core/gateway/message_headers.h
+++ b/source/core/gateway/message_headers.h
@@ -31,7 +31,8 @@
     common::milliseconds time_left{0};
 };
 
-/// The request as it goes to an endpoint: without the key, and without headers that concern one connection only.
+/// The request as it goes to an endpoint: without the key, and without headers that concern one connection
+/// only.
 request_message onward_request(const request_message& from, const header_names& names,
                                const onward_headers& added);
 
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -71,14 +71,13 @@
     if (way.may_have_run) {
         return {.status = status_bad_gateway, .reason = "endpoint_failed"};
     }
-    return {.status = status_unavailable,
-            .reason = "no_endpoint",
-            .retry_after = retry_pause(way.admitted)};
+    return {.status = status_unavailable, .reason = "no_endpoint", .retry_after = retry_pause(way.admitted)};
 }
 
 bool may_try_again(gateway_state& state, const journey& way) {
     const auto& route = *way.admitted.route;
-    if (static_cast<int>(way.tried.size()) >= route.attempt_limit || (way.may_have_run && !route.idempotent)) {
+    if (static_cast<int>(way.tried.size()) >= route.attempt_limit ||
+        (way.may_have_run && !route.idempotent)) {
         return false;
     }
     return monotonic::now() < way.admitted.answer_due && take_repeat(state, way.admitted.service);
@@ -91,7 +90,8 @@
     auto result = co_await attempt(state, it, way->admitted, endpoint);
     way->last_reason = result.reason;
     if (result.kind == attempt_kind::answered) {
-        finish(state, *from, *it, onward_answer(std::move(result.answer), it->request), way.get(), "answered");
+        finish(state, *from, *it, onward_answer(std::move(result.answer), it->request), way.get(),
+               "answered");
         co_return true;
     }
     if (result.kind == attempt_kind::failed) {
@@ -101,7 +101,8 @@
     co_return false;
 }
 
-awaitable<void> run_journey(gateway_state& state, caller_ptr from, call_ptr it, std::shared_ptr<journey> way) {
+awaitable<void> run_journey(gateway_state& state, caller_ptr from, call_ptr it,
+                            std::shared_ptr<journey> way) {
     while (!it->abandoned) {
         const auto endpoint = place_call(state, way->admitted, way->tried);
         if (!endpoint) {
--- /dev/null
+++ b/source/core/gateway/state_mirror.cpp
@@ -0,0 +1,213 @@
+#include "state_mirror.h"
+
+#include <algorithm>
+#include <limits>
+#include <mutex>
+#include <set>
+
+#include "core/schema/peer_codec.h"
+
+namespace lycheegap::gateway {
+
+namespace {
+
+using common::milliseconds;
+using common::monotonic;
+
+// Marks of removed items that are kept; with more, hosts that are far behind get everything.
+constexpr std::size_t removal_limit = 2000;
+
+void take_item(state_mirror& mirror, mirror_item item, std::vector<mirror_item>& news) {
+    const auto known = mirror.items.find(item.key);
+    if (known != mirror.items.end() && known->second.revision >= item.revision) {
+        return;
+    }
+    const bool was_there = known != mirror.items.end() && !known->second.removed;
+    if (!item.removed || was_there) {
+        news.push_back(item);
+    }
+    mirror.items[item.key] = std::move(item);
+}
+
+/// Marks what a whole update does not name.
+void remove_missing(state_mirror& mirror, const mirror_update& update, std::vector<mirror_item>& news) {
+    std::set<std::string_view> present;
+    for (const auto& it : update.items) {
+        present.insert(it.key);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, it] : mirror.items) {
+        if (!it.removed && it.revision <= update.revision && !present.contains(key)) {
+            missing.push_back(key);
+        }
+    }
+    for (const auto& key : missing) {
+        take_item(mirror,
+                  {.key = key, .value = {}, .revision = update.revision + 1, .lease = 0, .removed = true},
+                  news);
+        // The exact revision of the removal is not known; it is not after the update's.
+        mirror.items[key].revision = update.revision;
+    }
+}
+
+void drop_old_removals(state_mirror& mirror) {
+    const auto is_removed = [](const auto& it) { return it.second.removed; };
+    if (static_cast<std::size_t>(std::count_if(mirror.items.begin(), mirror.items.end(), is_removed)) <=
+        removal_limit) {
+        return;
+    }
+    std::erase_if(mirror.items, is_removed);
+    mirror.removals_known_from = mirror.revision;
+}
+
+mirror_item to_item(const schema::mirror_item_record_t& from) {
+    return {from.key, std::string(from.value.begin(), from.value.end()), from.revision, from.lease,
+            from.removed};
+}
+
+std::unique_ptr<schema::mirror_item_record_t> to_record(const mirror_item& from) {
+    auto made = std::make_unique<schema::mirror_item_record_t>();
+    made->key = from.key;
+    made->value.assign(from.value.begin(), from.value.end());
+    made->revision = from.revision;
+    made->lease = from.lease;
+    made->removed = from.removed;
+    return made;
+}
+
+schema::bytes encode_answer(const state_mirror& mirror, std::uint64_t after) {
+    const auto now = monotonic::now();
+    auto changes = changes_after(mirror, after);
+    schema::mirror_answer_t answer;
+    answer.revision = changes.revision;
+    answer.whole = changes.whole;
+    for (const auto& it : changes.items) {
+        answer.items.push_back(to_record(it));
+    }
+    answer.age = static_cast<int>(std::min<std::int64_t>(
+        common::milliseconds_between(mirror.confirmed_at, now), std::numeric_limits<int>::max()));
+    if (mirror.back_at) {
+        answer.back_age = static_cast<int>(std::min<std::int64_t>(
+            common::milliseconds_between(*mirror.back_at, now), std::numeric_limits<int>::max()));
+    }
+    return schema::encode_peer(std::move(answer));
+}
+
+struct ready_answer {
+    std::function<void(schema::bytes)> respond;
+    schema::bytes message;
+};
+
+/// Takes out the waiters that can be answered now.
+std::vector<ready_answer> take_ready(mirror_table& table, common::time_point now) {
+    std::vector<ready_answer> ready;
+    std::erase_if(table.waiters, [&](mirror_waiter& it) {
+        if (it.after >= table.mirror.revision && it.due > now) {
+            return false;
+        }
+        ready.push_back({std::move(it.respond), encode_answer(table.mirror, it.after)});
+        return true;
+    });
+    return ready;
+}
+
+void send_all(std::vector<ready_answer> ready) {
+    for (auto& it : ready) {
+        it.respond(std::move(it.message));
+    }
+}
+
+} // namespace
+
+std::vector<mirror_item> merge_update(state_mirror& mirror, mirror_update update) {
+    std::vector<mirror_item> news;
+    if (update.whole && mirror.complete && update.revision < mirror.revision) {
+        return news;
+    }
+    if (update.whole) {
+        remove_missing(mirror, update, news);
+        if (!mirror.complete) {
+            mirror.removals_known_from = update.revision;
+        }
+        mirror.complete = true;
+    }
+    for (auto& it : update.items) {
+        take_item(mirror, std::move(it), news);
+    }
+    mirror.revision = std::max(mirror.revision, update.revision);
+    mirror.confirmed_at = std::max(mirror.confirmed_at, update.confirmed_at);
+    mirror.back_at = std::max(mirror.back_at, update.back_at);
+    drop_old_removals(mirror);
+    return news;
+}
+
+mirror_update changes_after(const state_mirror& mirror, std::uint64_t after) {
+    mirror_update changes;
+    changes.revision = mirror.revision;
+    changes.whole = mirror.complete && (after == 0 || after < mirror.removals_known_from);
+    changes.confirmed_at = mirror.confirmed_at;
+    changes.back_at = mirror.back_at;
+    for (const auto& [key, it] : mirror.items) {
+        if (changes.whole ? !it.removed : it.revision > after) {
+            changes.items.push_back(it);
+        }
+    }
+    return changes;
+}
+
+void ask_mirror(mirror_table& table, std::uint64_t after, milliseconds wait,
+                std::function<void(schema::bytes)> respond) {
+    std::vector<ready_answer> ready;
+    {
+        const std::lock_guard guard(table.mutex);
+        table.waiters.push_back({after, monotonic::now() + wait, std::move(respond)});
+        ready = take_ready(table, monotonic::now());
+    }
+    send_all(std::move(ready));
+}
+
+std::vector<mirror_item> publish_update(mirror_table& table, mirror_update update) {
+    std::vector<mirror_item> news;
+    std::vector<ready_answer> ready;
+    {
+        const std::lock_guard guard(table.mutex);
+        news = merge_update(table.mirror, std::move(update));
+        ready = take_ready(table, monotonic::now());
+    }
+    send_all(std::move(ready));
+    return news;
+}
+
+void expire_waiters(mirror_table& table) {
+    std::vector<ready_answer> ready;
+    {
+        const std::lock_guard guard(table.mutex);
+        ready = take_ready(table, monotonic::now());
+    }
+    send_all(std::move(ready));
+}
+
+std::optional<mirror_update> read_mirror_answer(schema::byte_view message, common::time_point asked_at,
+                                                std::string_view peer) {
+    const auto read = schema::decode<schema::peer_message>(message, peer);
+    const auto* answer = read ? read->body.Asmirror_answer() : nullptr;
+    if (answer == nullptr) {
+        return common::fail(common::step::decode, peer, "not an answer about the store");
+    }
+    mirror_update update;
+    update.revision = answer->revision;
+    update.whole = answer->whole;
+    // Counted from the question: the answer may have been on its way for long.
+    update.confirmed_at = asked_at - milliseconds{std::max(answer->age, 0)};
+    if (answer->back_age >= 0) {
+        update.back_at = asked_at - milliseconds{answer->back_age};
+    }
+    for (const auto& it : answer->items) {
+        if (it) {
+            update.items.push_back(to_item(*it));
+        }
+    }
+    return update;
+}
+
+} // namespace lycheegap::gateway
--- a/source/core/settings/ini_settings.h
+++ b/source/core/settings/ini_settings.h
@@ -14,8 +14,8 @@
 /// Settings of an entry host as declared in schema/entry_settings.fbs; every section is present.
 using entry_settings = schema::entry_settings_t;
 
-/// Parses INI text. An empty value stands for the default. Unknown sections and keys, wrong types, values out of range and missing needed keys are
-/// errors; the reason names `file`, section and key.
+/// Parses INI text. An empty value stands for the default. Unknown sections and keys, wrong types, values out
+/// of range and missing needed keys are errors; the reason names `file`, section and key.
 std::optional<daemon_settings> parse_settings(std::string_view text, std::string_view file);
 
 /// Reads and parses a file.
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -16,8 +16,8 @@
 constexpr double cold_use = 0.6;
 // Endpoints that serve one object. More would leave each of them cold for most objects.
 constexpr std::size_t warm_ranks = 2;
-// Load up to which a warm endpoint takes more than it has slots: a short wait there is better than cold work, and a
-// longer one would make every answer late.
+// Load up to which a warm endpoint takes more than it has slots: a short wait there is better than cold work,
+// and a longer one would make every answer late.
 constexpr double crowded = 1.4;
 // Load up to which an endpoint that is not warm for the object counts as free.
 constexpr double spare = 0.75;
@@ -83,7 +83,8 @@
 /// Least loaded one, avoided ones last; null when its load is not below `limit`.
 const candidate* least_loaded(std::span<const candidate> all, common::time_point now, double limit) {
     const auto least = std::min_element(all.begin(), all.end(), [&](const candidate& a, const candidate& b) {
-        return std::pair(is_avoided(a, now), relative_load(a)) < std::pair(is_avoided(b, now), relative_load(b));
+        return std::pair(is_avoided(a, now), relative_load(a)) <
+               std::pair(is_avoided(b, now), relative_load(b));
     });
     return least != all.end() && relative_load(*least) < limit ? &*least : nullptr;
 }
@@ -104,6 +105,9 @@
     std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(ranks), all.end(),
                       [](const candidate& a, const candidate& b) { return a.rank > b.rank; });
     const auto warm = all.first(ranks);
+    // A crossing between regions costs time and bytes; both are warm for the object.
+    std::stable_partition(warm.begin(), warm.end(),
+                          [&](const candidate& it) { return it.endpoint->entry.region == wanted.region; });
     if (const auto* free = first_free(warm, now)) {
         return free;
     }
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -26,8 +26,9 @@
     double cold_limit{0};
 };
 
-/// Endpoint for a request, or null when none accepts work. Requests for one object go to the same few endpoints
-/// on every host, by rendezvous hashing, as long as these have free slots. Counts a request to a cold endpoint.
+/// Endpoint for a request, or null when none accepts work. Requests for one object go to the same few
+/// endpoints on every host, by rendezvous hashing, as long as these have free slots. Counts a request to a
+/// cold endpoint.
 endpoint_ptr place_request(endpoint_set& set, const placement_request& wanted, common::time_point now);
 
 /// Whether this host is one of the few that may send to a cold endpoint; all hosts agree on them.
--- a/source/core/traffic/rate_share.h
+++ b/source/core/traffic/rate_share.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "configuration.h"
-#include "sliding_window.h"
 
 namespace lycheegap::traffic {
 
@@ -14,16 +13,27 @@
     double slack{0};
 };
 
-/// Requests of a team that the whole fleet may pass on in one window.
-double fleet_limit(const team& from, const rate_bounds& bounds);
+/// Tokens a second, and tokens that a bucket holds.
+struct rate_limit {
+    double rate{0};
+    double capacity{0};
+};
+
+/// What the whole fleet may pass on for a team: in any window at most the capacity and the rate times the
+/// window.
+rate_limit fleet_limit(const team& from, const rate_bounds& bounds);
 
-/// Requests of a team that this host passed on.
-struct rate_share {
-    sliding_window passed;
+/// Tokens of a team on one host. It starts empty: what an earlier process of this host passed on counts in
+/// the same window.
+struct rate_bucket {
+    double tokens{0};
+    common::time_point at;
 };
 
-/// Counts a request when this host's `part` (0 to 1) of the team's limit has room.
-bool take_rate(rate_share& share, const team& from, const rate_bounds& bounds, double part,
-               common::time_point now);
+/// Takes a token when there is one. `limit` is this host's part of the fleet's.
+bool take_token(rate_bucket& bucket, const rate_limit& limit, common::time_point now);
+
+/// Time until there is a token.
+common::milliseconds until_token(const rate_bucket& bucket, const rate_limit& limit);
 
 } // namespace lycheegap::traffic
--- a/source/core/traffic/retry_share.cpp
+++ b/source/core/traffic/retry_share.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// Part of the limit that is used: windows slide, and a request may be sent late in one and arrive in the next.
+// Part of the limit that is used: windows slide, and a request may be sent late in one and arrive in the
+// next.
 constexpr double limit_use = 0.8;
 
 } // namespace
