--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -24,31 +24,6 @@
 constexpr int pause_divisor = 2;
 constexpr milliseconds shortest_pause{100};
 
-/// Part of a team's rate that this host may use. A host whose entry has lapsed is not counted by the others,
-/// and takes no more than an equal part.
-double rate_part(gateway_state& state) {
-    const auto fleet = current_fleet(state);
-    if (fleet->own_part > 0) {
-        return fleet->own_part;
-    }
-    return 1.0 / static_cast<double>(fleet->names.size() + 1);
-}
-
-bool take_team_rate(gateway_state& state, const traffic::team& from, milliseconds& pause) {
-    if (from.rate <= 0) {
-        return true;
-    }
-    const double part = rate_part(state);
-    const auto whole = traffic::fleet_limit(from, state.options.rates);
-    const traffic::rate_limit own{whole.rate * part, whole.capacity * part};
-    const std::lock_guard guard(state.rates.mutex);
-    auto& bucket =
-        state.rates.teams.try_emplace(from.name, traffic::rate_bucket{0, state.started_at}).first->second;
-    const bool taken = traffic::take_token(bucket, own, monotonic::now());
-    pause = traffic::until_token(bucket, own);
-    return taken;
-}
-
 /// Service whose share of the route lags most behind its weight.
 std::string pick_service(gateway_state& state, const traffic::route& route) {
     if (route.parts.size() == 1) {
@@ -112,12 +87,6 @@
     } else {
         admitted.regions = route.regions;
     }
-    if (admitted.team != nullptr && !route.open) {
-        milliseconds pause{0};
-        if (!take_team_rate(state, *admitted.team, pause)) {
-            return refusal{.status = 429, .reason = "rate", .retry_after = pause};
-        }
-    }
     admitted.service = pick_service(state, route);
     if (route.has_affinity) {
         admitted.object = cookie_value(it.request, state.options.headers.affinity_cookie);
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -26,7 +26,7 @@
     common::time_point answer_due;
 };
 
-/// Checks route, key, regions and rate, and picks the service. Does not wait.
+/// Checks route, key and regions, and picks the service. Does not wait.
 std::variant<refusal, admitted_call> admit_call(gateway_state& state, const call& it);
 
 /// Endpoint for the next attempt, or null.
--- a/source/core/gateway/fleet_link.cpp
+++ b/source/core/gateway/fleet_link.cpp
@@ -7,6 +7,7 @@
 #include "core/common/log.h"
 #include "core/schema/peer_codec.h"
 #include "core/transport/listen_socket.h"
+#include "team_rates.h"
 
 namespace lycheegap::gateway {
 
@@ -29,6 +30,11 @@
         ask_mirror(state.mirror, question.after, wait, respond);
         return;
     }
+    if (read && read->body.type == schema::peer_body::rate_question) {
+        const auto& question = *read->body.Asrate_question();
+        respond(answer_rate_question(state, question.team, question.wanted));
+        return;
+    }
     common::log_warning("peer_message_refused", {field("reason", read ? "unexpected" : "unreadable")});
     schema::peer_refusal_t refused;
     refused.step = "decode";
@@ -58,6 +64,7 @@
     if (!made->peers) {
         return nullptr;
     }
+    state.link = made.get();
     made->address = transport::join_address(ip, made->peers->port());
     return made;
 }
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -13,7 +13,7 @@
 #include "core/traffic/configuration.h"
 #include "core/traffic/directory.h"
 #include "core/traffic/endpoint_set.h"
-#include "core/traffic/rate_share.h"
+#include "core/traffic/rate_home.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
 #include "net.h"
@@ -85,7 +85,9 @@
 
 struct rate_table {
     common::ranked_mutex mutex{common::lock_rank::rate_table};
-    std::map<std::string, traffic::rate_bucket, std::less<>> teams;
+    std::map<std::string, traffic::team_tokens, std::less<>> teams;
+    /// Teams whose tokens this host lends, or lent.
+    std::map<std::string, traffic::home_bucket, std::less<>> homes;
     /// Log lines of the last second.
     traffic::sliding_window lines;
 };
@@ -107,6 +109,7 @@
 };
 
 struct caller_connection;
+struct fleet_link;
 
 struct caller_table {
     common::ranked_mutex mutex{common::lock_rank::caller_table};
@@ -129,6 +132,8 @@
     connection_table connections;
     caller_table callers;
     common::metrics_table metrics;
+    /// Streams to the other hosts, once they are open.
+    std::atomic<fleet_link*> link{nullptr};
     /// A planned stop has begun: no new work is asked for.
     std::atomic<bool> stopping{false};
     /// Open connections of callers.
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -9,6 +9,7 @@
 #include "core/common/log.h"
 #include "message_headers.h"
 #include "refusal.h"
+#include "team_rates.h"
 
 namespace lycheegap::gateway {
 
@@ -17,6 +18,7 @@
 using common::field;
 using common::monotonic;
 
+constexpr unsigned int status_too_many = 429;
 constexpr unsigned int status_bad_gateway = 502;
 constexpr unsigned int status_unavailable = 503;
 constexpr unsigned int status_timeout = 504;
@@ -101,6 +103,14 @@
     co_return false;
 }
 
+/// Time after which a team that is over its rate should come back; empty when the request may go on.
+awaitable<std::optional<common::milliseconds>> rate_pause(gateway_state& state, const admitted_call& it) {
+    if (it.team == nullptr || it.route->open) {
+        co_return std::nullopt;
+    }
+    co_return co_await take_rate_token(state, *it.team);
+}
+
 awaitable<void> run_journey(gateway_state& state, caller_ptr from, call_ptr it,
                             std::shared_ptr<journey> way) {
     while (!it->abandoned) {
@@ -138,7 +148,12 @@
     } else {
         const auto way = std::make_shared<journey>();
         way->admitted = std::move(std::get<admitted_call>(decision));
-        co_await run_journey(state, from, it, way);
+        const auto pause = co_await rate_pause(state, way->admitted);
+        if (pause && !it->abandoned) {
+            refuse(state, *from, *it, {.status = status_too_many, .reason = "rate", .retry_after = pause}, way.get());
+        } else {
+            co_await run_journey(state, from, it, way);
+        }
     }
     --state.calls;
 }
--- /dev/null
+++ b/source/core/traffic/rate_home.cpp
@@ -0,0 +1,78 @@
+#include "rate_home.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/common/digest.h"
+
+namespace lycheegap::traffic {
+
+namespace {
+
+// Larger parts of the hosts refuse less while a home is away, larger lent parts follow uneven callers better.
+constexpr double own_use = 0.6;
+// Demand is averaged over this time.
+constexpr double demand_time_s = 1.0;
+// Tokens are asked for so long ahead, within the time that they last.
+constexpr double ahead_s = 0.5;
+
+} // namespace
+
+rate_limit own_limit(const rate_limit& fleet, double part) {
+    return {fleet.rate * own_use * part, fleet.capacity * own_use * part};
+}
+
+rate_limit lent_limit(const rate_limit& fleet) {
+    return {fleet.rate * (1 - own_use), fleet.capacity * (1 - own_use)};
+}
+
+std::string_view home_of(const fleet_members& members, std::string_view team) {
+    const auto seed = common::stable_hash(team);
+    std::string_view home;
+    std::uint64_t best = 0;
+    for (const auto& [name, it] : members) {
+        const auto rank = common::stable_hash(name, seed);
+        if (!it.peer_address.empty() && (home.empty() || rank > best)) {
+            home = name;
+            best = rank;
+        }
+    }
+    return home;
+}
+
+void note_home(home_bucket& home, bool is_home, common::time_point now) {
+    if (is_home && !home.is_home) {
+        home.since = now;
+        home.bucket = {0, now + home_wait};
+    }
+    home.is_home = is_home;
+}
+
+double lend(home_bucket& home, const rate_limit& lent, double wanted, common::time_point now) {
+    if (!home.is_home || now < home.since + home_wait) {
+        return 0;
+    }
+    double granted = 0;
+    while (granted < wanted && take_token(home.bucket, lent, now)) {
+        granted += 1;
+    }
+    return granted;
+}
+
+bool take_team_token(team_tokens& tokens, const rate_limit& own, common::time_point now) {
+    if (tokens.borrowed >= 1 && now < tokens.borrowed_until) {
+        tokens.borrowed -= 1;
+        return true;
+    }
+    // A host whose part is less than one token leaves it to the home: a whole token each would exceed the limit.
+    return own.capacity >= 1 && take_token(tokens.own, own, now);
+}
+
+double note_demand(team_tokens& tokens, common::time_point now) {
+    const double elapsed = std::max(0.0, common::seconds_between(tokens.demand_at, now));
+    tokens.demand = tokens.demand * std::exp(-elapsed / demand_time_s) + 1 / demand_time_s;
+    tokens.demand_at = now;
+    return std::max(1.0, std::floor(tokens.demand * ahead_s));
+}
+
+} // namespace lycheegap::traffic
--- /dev/null
+++ b/source/core/traffic/rate_home.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "directory.h"
+#include "rate_share.h"
+
+namespace lycheegap::traffic {
+
+// A team's limit has two parts. One is divided among the hosts by their expected part of callers and needs no message.
+// The other is kept by one host, the team's home, which lends tokens to hosts that need more than their own.
+
+/// This host's own part of a limit.
+rate_limit own_limit(const rate_limit& fleet, double part);
+/// The part that the home lends.
+rate_limit lent_limit(const rate_limit& fleet);
+
+/// Host that lends a team's tokens; all hosts that know the same members name the same one. Empty without members.
+std::string_view home_of(const fleet_members& members, std::string_view team);
+
+/// Tokens of a team at its home, or nothing lent yet.
+struct home_bucket {
+    rate_bucket bucket;
+    /// Moment from which this host is the home; it lends only after a former home's tokens have lapsed.
+    common::time_point since;
+    bool is_home{false};
+};
+
+/// How long lent tokens last.
+inline constexpr common::milliseconds loan_time{1000};
+/// A new home waits so long: hosts learn of new members within half a second of each other.
+inline constexpr common::milliseconds home_wait{1500};
+
+/// Notes at each change of members whether this host is the home.
+void note_home(home_bucket& home, bool is_home, common::time_point now);
+
+/// Lends up to `wanted` tokens; 0 when there is none or this host may not lend.
+double lend(home_bucket& home, const rate_limit& lent, double wanted, common::time_point now);
+
+/// A team's tokens on one host.
+struct team_tokens {
+    rate_bucket own;
+    double borrowed{0};
+    common::time_point borrowed_until;
+    /// The home had none to lend until then.
+    common::time_point dry_until;
+    /// A question is on its way to the home.
+    bool asking{false};
+    /// Requests of the recent past a second, for how many tokens to ask.
+    double demand{0};
+    common::time_point demand_at;
+};
+
+/// Takes one token, borrowed ones first since these lapse.
+bool take_team_token(team_tokens& tokens, const rate_limit& own, common::time_point now);
+
+/// Counts a request and returns how many tokens are worth asking for.
+double note_demand(team_tokens& tokens, common::time_point now);
+
+} // namespace lycheegap::traffic
