--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -150,7 +150,8 @@
         way->admitted = std::move(std::get<admitted_call>(decision));
         const auto pause = co_await rate_pause(state, way->admitted);
         if (pause && !it->abandoned) {
-            refuse(state, *from, *it, {.status = status_too_many, .reason = "rate", .retry_after = pause}, way.get());
+            refuse(state, *from, *it, {.status = status_too_many, .reason = "rate", .retry_after = pause},
+                   way.get());
         } else {
             co_await run_journey(state, from, it, way);
         }
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -23,8 +23,8 @@
 constexpr double tokens_at_once = 100;
 
 const traffic::team* find_team_by_name(const traffic::configuration& config, std::string_view name) {
-    const auto found =
-        std::find_if(config.teams.begin(), config.teams.end(), [&](const auto& it) { return it.name == name; });
+    const auto found = std::find_if(config.teams.begin(), config.teams.end(),
+                                    [&](const auto& it) { return it.name == name; });
     return found == config.teams.end() ? nullptr : &*found;
 }
 
@@ -46,7 +46,8 @@
     if (from == nullptr || !knows_members(state)) {
         return {0, silent_home_pause};
     }
-    const auto lent = traffic::lent_limit(traffic::fleet_limit(*from, state.options.rates));
+    const auto lent =
+        traffic::lent_limit(traffic::fleet_limit(*from, state.options.rates), fleet->names.size());
     const auto now = monotonic::now();
     const std::lock_guard guard(state.rates.mutex);
     auto& home = state.rates.homes[std::string(team)];
@@ -108,8 +109,10 @@
         co_return std::nullopt;
     }
     const auto fleet = current_fleet(state);
-    const double part = fleet->own_part > 0 ? fleet->own_part : 1.0 / static_cast<double>(fleet->names.size() + 1);
-    const auto own = traffic::own_limit(traffic::fleet_limit(from, state.options.rates), part);
+    const double part =
+        fleet->own_part > 0 ? fleet->own_part : 1.0 / static_cast<double>(fleet->names.size() + 1);
+    const auto own =
+        traffic::own_limit(traffic::fleet_limit(from, state.options.rates), part, fleet->names.size());
     const auto asked_at = monotonic::now();
     double wanted = 1;
     {
--- a/source/core/gateway/team_rates.h
+++ b/source/core/gateway/team_rates.h
@@ -6,9 +6,10 @@
 
 namespace lycheegap::gateway {
 
-/// Takes a token of the team for one request, asking the team's home when this host has none. Empty when it is taken,
-/// else the time after which the caller should come back.
-awaitable<std::optional<common::milliseconds>> take_rate_token(gateway_state& state, const traffic::team& from);
+/// Takes a token of the team for one request, asking the team's home when this host has none. Empty when it
+/// is taken, else the time after which the caller should come back.
+awaitable<std::optional<common::milliseconds>> take_rate_token(gateway_state& state,
+                                                               const traffic::team& from);
 
 /// Answers a host that asks this one, as the team's home, for tokens.
 schema::bytes answer_rate_question(gateway_state& state, std::string_view team, double wanted);
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -11,19 +11,29 @@
 
 // Larger parts of the hosts refuse less while a home is away, larger lent parts follow uneven callers better.
 constexpr double own_use = 0.6;
+// Fewer tokens than this on a host lie unused while other hosts lack them.
+constexpr double least_own_tokens = 1.5;
 // Demand is averaged over this time.
 constexpr double demand_time_s = 1.0;
 // Tokens are asked for so long ahead, within the time that they last.
 constexpr double ahead_s = 0.5;
 
+/// Part of a limit that is divided among the hosts.
+double own_part_of(const rate_limit& fleet, std::size_t hosts) {
+    const double each = fleet.capacity * own_use / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    return each >= least_own_tokens ? own_use : 0;
+}
+
 } // namespace
 
-rate_limit own_limit(const rate_limit& fleet, double part) {
-    return {fleet.rate * own_use * part, fleet.capacity * own_use * part};
+rate_limit own_limit(const rate_limit& fleet, double part, std::size_t hosts) {
+    const double use = own_part_of(fleet, hosts) * part;
+    return {fleet.rate * use, fleet.capacity * use};
 }
 
-rate_limit lent_limit(const rate_limit& fleet) {
-    return {fleet.rate * (1 - own_use), fleet.capacity * (1 - own_use)};
+rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts) {
+    const double use = 1 - own_part_of(fleet, hosts);
+    return {fleet.rate * use, fleet.capacity * use};
 }
 
 std::string_view home_of(const fleet_members& members, std::string_view team) {
@@ -64,7 +74,8 @@
         tokens.borrowed -= 1;
         return true;
     }
-    // A host whose part is less than one token leaves it to the home: a whole token each would exceed the limit.
+    // A host whose part is less than one token leaves it to the home: a whole token each would exceed the
+    // limit.
     return own.capacity >= 1 && take_token(tokens.own, own, now);
 }
 
--- a/source/core/traffic/rate_home.h
+++ b/source/core/traffic/rate_home.h
@@ -9,15 +9,18 @@
 
 namespace lycheegap::traffic {
 
-// A team's limit has two parts. One is divided among the hosts by their expected part of callers and needs no message.
-// The other is kept by one host, the team's home, which lends tokens to hosts that need more than their own.
+// A team's limit has two parts. One is divided among the hosts by their expected part of callers and needs no
+// message. The other is kept by one host, the team's home, which lends tokens to hosts that need more than
+// their own.
 
-/// This host's own part of a limit.
-rate_limit own_limit(const rate_limit& fleet, double part);
-/// The part that the home lends.
-rate_limit lent_limit(const rate_limit& fleet);
+/// This host's own part of a limit; nothing where each of `hosts` hosts would hold too few tokens to use
+/// them.
+rate_limit own_limit(const rate_limit& fleet, double part, std::size_t hosts);
+/// The part that the home lends: the rest.
+rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts);
 
-/// Host that lends a team's tokens; all hosts that know the same members name the same one. Empty without members.
+/// Host that lends a team's tokens; all hosts that know the same members name the same one. Empty without
+/// members.
 std::string_view home_of(const fleet_members& members, std::string_view team);
 
 /// Tokens of a team at its home, or nothing lent yet.
--- /dev/null
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -0,0 +1,280 @@
+#include "core/gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include <doctest/doctest.h>
+
+#include "core/common/digest.h"
+#include "scripted_endpoint.h"
+
+namespace lycheegap::gateway {
+
+namespace {
+
+using common::milliseconds;
+
+gateway_options test_options() {
+    gateway_options made;
+    made.host = "host-1";
+    made.region = "coast";
+    made.domain = "coast-1";
+    made.request_address = "127.0.0.1:0";
+    made.headers = {"x-id", "x-wait", "object", "x-team", "x-target", "x-load", "x-not-run"};
+    made.retries = {.ratio = 0.2, .slack = 100};
+    made.stop_time = milliseconds(1500);
+    return made;
+}
+
+traffic::route make_route(std::string prefix, bool idempotent) {
+    traffic::route made;
+    made.name = prefix;
+    made.host = "a.example";
+    made.prefix = std::move(prefix);
+    made.idempotent = idempotent;
+    made.has_affinity = true;
+    made.timeout = milliseconds(1200);
+    made.target_latency = milliseconds(400);
+    made.attempt_limit = 2;
+    made.parts = {{"desk", 1}};
+    return made;
+}
+
+std::shared_ptr<traffic::configuration> test_configuration() {
+    auto made = std::make_shared<traffic::configuration>();
+    made->version = 1;
+    made->routes = {make_route("/read/", true), make_route("/book/", false)};
+    made->teams = {{"kite", 1, 0, 0, {}}};
+    made->team_of_key.emplace(common::key_digest("k1"), 0);
+    return made;
+}
+
+traffic::endpoint_entry entry_of(const scripted_endpoint& endpoint, std::string id) {
+    traffic::endpoint_entry made;
+    made.id = std::move(id);
+    made.service = "desk";
+    made.address = endpoint.address();
+    made.region = "coast";
+    made.domain = "coast-1";
+    made.slots = 6;
+    return made;
+}
+
+struct test_host {
+    std::unique_ptr<running_gateway> running{start_gateway(test_options())};
+
+    test_host() {
+        apply_configuration(*running->state, test_configuration());
+    }
+
+    test_host(const test_host&) = delete;
+    test_host& operator=(const test_host&) = delete;
+    test_host(test_host&&) = delete;
+    test_host& operator=(test_host&&) = delete;
+
+    ~test_host() {
+        stop_gateway(*running);
+    }
+
+    void use(const scripted_endpoint& endpoint, const std::string& id = "e1") const {
+        apply_endpoint(*running->state, entry_of(endpoint, id));
+    }
+
+    [[nodiscard]] std::string address() const {
+        return running->state->options.request_address;
+    }
+};
+
+std::string request_text(const std::string& path, const std::string& id, const std::string& more = "",
+                         const std::string& method = "GET") {
+    return fmt::format(
+        "{} {} HTTP/1.1\r\nHost: a.example\r\nx-id: {}\r\nx-wait: 1000\r\nAuthorization: Bearer k1\r\n"
+        "x-team: forged\r\n{}\r\n",
+        method, path, id, more);
+}
+
+} // namespace
+
+TEST_CASE("a request reaches its endpoint without the key, with its team, target and time left") {
+    scripted_endpoint endpoint([](const auto&) { return scripted_reply{whole_answer("waves")}; });
+    const test_host host;
+    host.use(endpoint);
+    const auto answer =
+        talk(host.address(), request_text("/read/1?a=b", "q1", "Cookie: object=7\r\n"), "waves");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("x-id: q1") != std::string::npos);
+    REQUIRE(endpoint.heads().size() == 1);
+    const auto head = endpoint.heads()[0];
+    CHECK(head.starts_with("GET /read/1?a=b HTTP/1.1\r\n"));
+    CHECK(head.find("k1") == std::string::npos);
+    CHECK(head.find("x-team: kite") != std::string::npos);
+    CHECK(head.find("forged") == std::string::npos);
+    CHECK(head.find("x-target: e1") != std::string::npos);
+    CHECK(head.find("Cookie: object=7") != std::string::npos);
+}
+
+TEST_CASE("unknown keys, routes and a host without configuration are told apart") {
+    scripted_endpoint endpoint([](const auto&) { return scripted_reply{whole_answer("x")}; });
+    const test_host host;
+    host.use(endpoint);
+    CHECK(talk(host.address(), "GET /read/ HTTP/1.1\r\nHost: a.example\r\n\r\n", "}")
+              .starts_with("HTTP/1.1 401"));
+    CHECK(talk(host.address(), request_text("/none/", "q"), "}").starts_with("HTTP/1.1 404"));
+    CHECK(talk(host.address(), "nonsense\r\n\r\n", "}").starts_with("HTTP/1.1 400"));
+    const auto bare = start_gateway(test_options());
+    const auto early = talk(bare->state->options.request_address, request_text("/read/", "q"), "}");
+    CHECK(early.starts_with("HTTP/1.1 503"));
+    CHECK(early.find("Retry-After") != std::string::npos);
+    stop_gateway(*bare);
+    CHECK(endpoint.heads().empty());
+}
+
+TEST_CASE("pipelined requests run at once and are answered in order") {
+    scripted_endpoint endpoint([](const std::string& head) {
+        const bool first = head.find("x-id: q1") != std::string::npos;
+        return scripted_reply{whole_answer(first ? "slow" : "fast"), false, false, first ? 300 : 0};
+    });
+    const test_host host;
+    host.use(endpoint);
+    const auto before = common::monotonic::now();
+    const auto answer =
+        talk(host.address(), request_text("/read/1", "q1") + request_text("/read/2", "q2"), "fast");
+    CHECK(answer.find("slow") < answer.find("fast"));
+    CHECK(answer.find("fast") != std::string::npos);
+    CHECK(common::monotonic::now() - before < milliseconds(900));
+    CHECK(endpoint.connections == 2);
+}
+
+TEST_CASE(
+    "an endpoint that did not run a request leaves it to another one, also when it must not be repeated") {
+    scripted_endpoint full([](const auto&) {
+        return scripted_reply{whole_answer("", "503 Service Unavailable", "x-not-run: 1\r\n")};
+    });
+    const test_host host;
+    host.use(full, "e1");
+    const auto refused = talk(host.address(), request_text("/book/1", "q1", "", "POST"), "}");
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("not_run") != std::string::npos);
+    scripted_endpoint good([](const auto&) { return scripted_reply{whole_answer("booked")}; });
+    host.use(good, "e2");
+    for (int n = 0; n < 5; ++n) {
+        const auto answer = talk(host.address(), request_text("/book/1", "q2", "", "POST"), "booked");
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+    }
+}
+
+TEST_CASE(
+    "work that must not be repeated is sent once when its answer is lost, and the refusal promises nothing") {
+    for (const bool reset : {false, true}) {
+        scripted_endpoint torn([&](const auto&) {
+            return scripted_reply{"HTTP/1.1 200 OK\r\nx-id: @ID@\r\nContent-Length: 100\r\n\r\nhalf", !reset,
+                                  reset};
+        });
+        const test_host host;
+        host.use(torn, "e1");
+        host.use(torn, "e2");
+        const auto answer = talk(host.address(), request_text("/book/1", "q1", "", "POST"), "}");
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(torn.heads().size() == 1);
+        // A read is tried again.
+        talk(host.address(), request_text("/read/1", "q2"), "}");
+        CHECK(torn.heads().size() == 3);
+    }
+}
+
+TEST_CASE("an answer without a length is whole only when its connection ends in order") {
+    scripted_endpoint closing([](const auto&) {
+        return scripted_reply{"HTTP/1.1 200 OK\r\nx-id: @ID@\r\n\r\nall of it", true};
+    });
+    const test_host host;
+    host.use(closing);
+    const auto whole = talk(host.address(), request_text("/read/1", "q1"), "all of it");
+    CHECK(whole.starts_with("HTTP/1.1 200"));
+    CHECK(whole.find("Content-Length: 9") != std::string::npos);
+    scripted_endpoint resetting([](const auto&) {
+        return scripted_reply{"HTTP/1.1 200 OK\r\nx-id: @ID@\r\n\r\npart of it", false, true};
+    });
+    const test_host other;
+    other.use(resetting);
+    const auto torn = talk(other.address(), request_text("/book/1", "q2", "", "POST"), "}");
+    CHECK(torn.starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("answers to other requests reach no caller") {
+    const std::string stray = "HTTP/1.1 200 OK\r\nx-id: other\r\nContent-Length: 5\r\n\r\nstray";
+    scripted_endpoint endpoint([&](const auto&) { return scripted_reply{stray + whole_answer("mine")}; });
+    const test_host host;
+    host.use(endpoint);
+    const auto answer = talk(host.address(), request_text("/read/1", "q1"), "mine");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("stray") == std::string::npos);
+    // Bytes behind a whole answer belong to no request; the connection is not used again.
+    scripted_endpoint extra([&](const auto&) { return scripted_reply{whole_answer("mine") + stray}; });
+    const test_host second;
+    second.use(extra);
+    for (int n = 0; n < 3; ++n) {
+        CHECK(talk(second.address(), request_text("/read/1", fmt::format("q{}", n)), "mine").find("stray") ==
+              std::string::npos);
+    }
+    CHECK(extra.connections == 3);
+}
+
+TEST_CASE("a caller that leaves takes its request with it") {
+    scripted_endpoint endpoint([](const auto&) {
+        return scripted_reply{whole_answer("late"), false, false, 800};
+    });
+    const test_host host;
+    host.use(endpoint);
+    talk(host.address(), request_text("/read/1", "q1"), "late", 100);
+    const auto due = common::monotonic::now() + milliseconds(600);
+    while (endpoint.left_early == 0 && common::monotonic::now() < due) {
+        std::this_thread::yield();
+    }
+    CHECK(endpoint.left_early == 1);
+}
+
+TEST_CASE("the final answer comes at the route's time limit") {
+    scripted_endpoint silent([](const auto&) { return scripted_reply{"", false, false, 4000}; });
+    const test_host host;
+    host.use(silent);
+    const auto before = common::monotonic::now();
+    const auto answer = talk(host.address(), request_text("/book/1", "q1", "", "POST"), "}");
+    const auto elapsed = common::monotonic::now() - before;
+    CHECK(answer.starts_with("HTTP/1.1 504"));
+    CHECK(elapsed > milliseconds(900));
+    CHECK(elapsed < milliseconds(1500));
+}
+
+TEST_CASE("a planned stop answers what was read and closes") {
+    scripted_endpoint endpoint([](const auto&) {
+        return scripted_reply{whole_answer("done"), false, false, 300};
+    });
+    const auto running = start_gateway(test_options());
+    apply_configuration(*running->state, test_configuration());
+    apply_endpoint(*running->state, entry_of(endpoint, "e1"));
+    CHECK(is_ready(*running->state));
+    std::string answer;
+    std::thread caller([&] {
+        answer = talk(running->state->options.request_address, request_text("/book/1", "q1"), "done");
+    });
+    while (running->state->calls == 0) {
+        std::this_thread::yield();
+    }
+    stop_gateway(*running);
+    caller.join();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK_FALSE(is_ready(*running->state));
+}
+
+TEST_CASE("an older configuration never replaces a newer one") {
+    const test_host host;
+    auto newer = test_configuration();
+    newer->version = 5;
+    CHECK(apply_configuration(*host.running->state, newer));
+    auto older = test_configuration();
+    older->version = 4;
+    CHECK_FALSE(apply_configuration(*host.running->state, older));
+    CHECK(current_configuration(*host.running->state)->version == 5);
+}
+
+} // namespace lycheegap::gateway
--- /dev/null
+++ b/source/unit_tests/gateway/scripted_endpoint.cpp
@@ -0,0 +1,173 @@
+#include "scripted_endpoint.h"
+
+#include <array>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/transport/listen_socket.h"
+
+namespace lycheegap::gateway {
+
+namespace {
+
+constexpr int poll_ms = 20;
+
+bool wait_readable(int fd, int timeout_ms) {
+    pollfd one{fd, POLLIN, 0};
+    return poll(&one, 1, timeout_ms) > 0;
+}
+
+void send_all(int fd, const std::string& bytes) {
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const auto n = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (n <= 0) {
+            return;
+        }
+        sent += static_cast<std::size_t>(n);
+    }
+}
+
+std::string id_of(const std::string& head) {
+    const std::string name = "x-id: ";
+    const auto at = head.find(name);
+    return at == std::string::npos ? ""
+                                   : head.substr(at + name.size(), head.find("\r\n", at) - at - name.size());
+}
+
+std::size_t length_of(const std::string& head) {
+    const std::string name = "Content-Length: ";
+    const auto at = head.find(name);
+    return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
+}
+
+void close_with_reset(int fd) {
+    const linger now{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+} // namespace
+
+scripted_endpoint::scripted_endpoint(std::function<scripted_reply(const std::string& head)> script)
+    : script_(std::move(script)) {
+    const auto opened = transport::open_listener("127.0.0.1", 0);
+    listener_ = opened->fd;
+    port_ = opened->port;
+    acceptor_ = std::thread([this] { accept_all(); });
+}
+
+scripted_endpoint::~scripted_endpoint() {
+    stopping_ = true;
+    acceptor_.join();
+    for (auto& it : threads_) {
+        it.join();
+    }
+    close(listener_);
+}
+
+std::string scripted_endpoint::address() const {
+    return transport::join_address("127.0.0.1", port_);
+}
+
+std::vector<std::string> scripted_endpoint::heads() {
+    const std::lock_guard guard(mutex_);
+    return heads_;
+}
+
+void scripted_endpoint::accept_all() {
+    while (!stopping_) {
+        if (!wait_readable(listener_, poll_ms)) {
+            continue;
+        }
+        const int fd = accept(listener_, nullptr, nullptr);
+        if (fd >= 0) {
+            ++connections;
+            threads_.emplace_back([this, fd] { serve(fd); });
+        }
+    }
+}
+
+void scripted_endpoint::serve(int fd) {
+    std::string input;
+    std::array<char, 4096> buf{};
+    while (!stopping_) {
+        const auto end = input.find("\r\n\r\n");
+        if (end != std::string::npos && input.size() >= end + 4 + length_of(input)) {
+            const auto head = input.substr(0, end + 4);
+            input.erase(0, end + 4 + length_of(head));
+            if (!reply_to(fd, head)) {
+                break;
+            }
+            continue;
+        }
+        if (!wait_readable(fd, poll_ms)) {
+            continue;
+        }
+        const auto n = recv(fd, buf.data(), buf.size(), 0);
+        if (n <= 0) {
+            break;
+        }
+        input.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    close(fd);
+}
+
+bool scripted_endpoint::reply_to(int fd, const std::string& head) {
+    {
+        const std::lock_guard guard(mutex_);
+        heads_.push_back(head);
+    }
+    const auto reply = script_(head);
+    for (int waited = 0; waited < reply.delay_ms && !stopping_; waited += poll_ms) {
+        char byte = 0;
+        if (wait_readable(fd, poll_ms) && recv(fd, &byte, 1, MSG_PEEK) <= 0) {
+            ++left_early;
+            return false;
+        }
+    }
+    auto bytes = reply.bytes;
+    for (auto at = bytes.find("@ID@"); at != std::string::npos; at = bytes.find("@ID@")) {
+        bytes.replace(at, 4, id_of(head));
+    }
+    send_all(fd, bytes);
+    if (reply.reset) {
+        close_with_reset(fd);
+    }
+    return !reply.close && !reply.reset;
+}
+
+std::string whole_answer(const std::string& body, const std::string& status, const std::string& more) {
+    return fmt::format("HTTP/1.1 {}\r\nx-id: @ID@\r\n{}Content-Length: {}\r\n\r\n{}", status, more,
+                       body.size(), body);
+}
+
+std::string talk(const std::string& address, const std::string& bytes, const std::string& until,
+                 int timeout_ms) {
+    const auto where = transport::split_address(address);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(where->port));
+    inet_pton(AF_INET, where->ip.c_str(), &target.sin_addr);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    std::string input;
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0) {
+        send_all(fd, bytes);
+        std::array<char, 4096> buf{};
+        while (input.find(until) == std::string::npos && wait_readable(fd, timeout_ms)) {
+            const auto n = recv(fd, buf.data(), buf.size(), 0);
+            if (n <= 0) {
+                break;
+            }
+            input.append(buf.data(), static_cast<std::size_t>(n));
+        }
+    }
+    close(fd);
+    return input;
+}
+
+} // namespace lycheegap::gateway
--- /dev/null
+++ b/source/unit_tests/platform/decode_test.cpp
@@ -0,0 +1,97 @@
+#include "platform/decode.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheegap::platform {
+
+namespace {
+
+constexpr std::string_view config_text = R"({"version":7,"resources":[
+{"resource_kind":"routes","metadata":{"name":"r1"},"spec":{"host":"a.example","prefix":"/x/","kind":"safe","timeout_s":2.5,
+ "target_latency_s":0.4,"priority":2,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+ "max_attempts":2,"public":false,"session_affinity":true,"allowed_regions":["coast"]}},
+{"resource_kind":"routes","metadata":{"name":"r2"},"spec":{"host":"a.example","prefix":"/y/","kind":"unsafe","timeout_s":2,
+ "service":"s1"}},
+{"resource_kind":"services","metadata":{"name":"s1"},"spec":{"cold_start_s":3.0,"cold_per_s":6.0}},
+{"resource_kind":"tenants","metadata":{"name":"t1"},"spec":{"api_keys":["k1","k2"],"priority":1,"rate_per_s":146,"burst":10}},
+{"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,
+ "idle_timeout_s":15}},
+{"resource_kind":"unheard of","metadata":{"name":"n"},"spec":{"new":1}}],"later":true})";
+
+const domain_regions regions = {{"north", "coast"}};
+
+} // namespace
+
+TEST_CASE("a configuration of the platform becomes routes, services, teams and limits") {
+    const auto config = decode_configuration(config_text);
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    REQUIRE(config->routes.size() == 2);
+    CHECK(config->routes[0].idempotent);
+    CHECK(config->routes[0].timeout == common::milliseconds(2500));
+    CHECK(config->routes[0].parts.size() == 2);
+    CHECK_FALSE(config->routes[1].idempotent);
+    CHECK(config->routes[1].parts.at(0).service == "s1");
+    CHECK(config->services.at("s1").cold_rate == 6);
+    CHECK(traffic::find_team(*config, "k2")->name == "t1");
+    CHECK(config->limits.body_bytes == 1000);
+}
+
+TEST_CASE("text that is no configuration changes nothing") {
+    CHECK_FALSE(decode_configuration("{"));
+    CHECK_FALSE(decode_configuration("[]"));
+    CHECK_FALSE(decode_configuration(R"({"version":"7","resources":[]})"));
+    CHECK_FALSE(decode_configuration(R"({"version":7})"));
+}
+
+TEST_CASE("entries of other writers name no endpoint") {
+    const std::string good =
+        R"({"address":"10.0.0.1:80","born":5,"info":{"service":"s","version":"v1","zone":"north","capacity":6},)"
+        R"("status":{"state":"draining","sequence":4,"cold_remaining_s":1.5}})";
+    const auto entry = decode_endpoint("i-1", good, regions);
+    REQUIRE(entry);
+    CHECK(entry->leaving);
+    CHECK(entry->region == "coast");
+    CHECK(entry->cold_for == common::milliseconds(1500));
+    CHECK(entry->born == 5);
+    for (
+        const auto* bad :
+        {"", "\xff\xfe", "7", "{}", R"({"address":"a","info":{},"status":{}})",
+         R"({"address":7,"info":{"service":"s","zone":"north","capacity":6},"status":{"state":"ready"}})",
+         R"({"address":"a","info":{"service":"s","zone":"north","capacity":"6"},"status":{"state":"ready"}})",
+         R"({"address":"a","info":{"service":"s","zone":"north","capacity":6},"status":{"state":"asleep"}})"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(decode_endpoint("i-1", bad, regions));
+    }
+}
+
+TEST_CASE("pages of the store carry items, removals and the revision to go on from") {
+    const auto page = decode_page(
+        R"({"events":[{"key":"a","value":"aGk=","revision":3,"lease":9},{"key":"b","revision":4,"tombstone":true}],"at_rev":4})");
+    REQUIRE(page);
+    REQUIRE(page->items.size() == 2);
+    CHECK(page->items[0].value == "hi");
+    CHECK(page->items[0].lease == 9);
+    CHECK(page->items[1].removed);
+    CHECK(page->revision == 4);
+    CHECK_FALSE(decode_page("{}"));
+    CHECK(from_base64(to_base64("any bytes")) == "any bytes");
+    CHECK_FALSE(from_base64("*"));
+}
+
+TEST_CASE("a host's own entry reads back as it was written") {
+    traffic::fleet_member member;
+    member.name = "host-1";
+    member.region = "coast";
+    member.domain = "north";
+    member.request_address = "10.0.0.1:1";
+    member.peer_address = "10.0.0.1:2";
+    member.capacity = 0.5;
+    const auto read = decode_member(encode_member(member));
+    REQUIRE(read);
+    CHECK(read->peer_address == "10.0.0.1:2");
+    CHECK(read->capacity == 0.5);
+    CHECK_FALSE(decode_member("{}"));
+}
+
+} // namespace lycheegap::platform
--- /dev/null
+++ b/source/unit_tests/traffic/endpoint_set_test.cpp
@@ -0,0 +1,94 @@
+#include "core/traffic/endpoint_set.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheegap::traffic {
+
+namespace {
+
+using common::milliseconds;
+
+const common::time_point start{std::chrono::seconds(1000)};
+
+endpoint_entry entry(std::string id, std::int64_t born = 1) {
+    endpoint_entry made;
+    made.id = std::move(id);
+    made.service = "desk";
+    made.address = "10.0.0.1:80";
+    made.domain = "north";
+    made.region = "coast";
+    made.slots = 6;
+    made.born = born;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("an id that was born anew is another endpoint") {
+    endpoint_set set;
+    CHECK(put_endpoint(set, entry("a"), start) == endpoint_change::added);
+    set.by_id["a"]->in_flight = 3;
+    CHECK(put_endpoint(set, entry("a"), start) == endpoint_change::none);
+    CHECK(set.by_id["a"]->in_flight == 3);
+    CHECK(put_endpoint(set, entry("a", 2), start) == endpoint_change::replaced);
+    CHECK(set.by_id["a"]->in_flight == 0);
+    CHECK(set.by_service["desk"].size() == 1);
+}
+
+TEST_CASE("an endpoint that leaves, or whose domain is vacated, gets no work") {
+    endpoint_set set;
+    put_endpoint(set, entry("a"), start);
+    const auto a = set.by_id["a"];
+    CHECK(accepts_work(set, *a));
+    set_vacated(set, "north", true, start, milliseconds(3000));
+    CHECK_FALSE(accepts_work(set, *a));
+    set_vacated(set, "north", false, start, milliseconds(3000));
+    CHECK(accepts_work(set, *a));
+    CHECK(a->cold_until == start + milliseconds(3000));
+    auto leaving = entry("a");
+    leaving.leaving = true;
+    CHECK(put_endpoint(set, leaving, start) == endpoint_change::updated);
+    CHECK_FALSE(accepts_work(set, *a));
+}
+
+TEST_CASE("an entry that lapsed while the store was away is back in time or goes") {
+    endpoint_set set;
+    put_endpoint(set, entry("back"), start);
+    put_endpoint(set, entry("gone"), start);
+    const auto due = start + milliseconds(2000);
+    remove_endpoint_later(set, "back", due);
+    remove_endpoint_later(set, "gone", due);
+    CHECK(accepts_work(set, *set.by_id["gone"]));
+    put_endpoint(set, entry("back"), start + milliseconds(500));
+    CHECK(expire_endpoints(set, due - milliseconds(1)).empty());
+    CHECK(expire_endpoints(set, due) == std::vector<std::string>{"gone"});
+    CHECK(set.by_id.size() == 1);
+    CHECK(set.by_service["desk"].size() == 1);
+}
+
+TEST_CASE("reports of others' load are smoothed and fade") {
+    endpoint_state it;
+    it.entry = entry("a");
+    it.in_flight = 1;
+    note_report(it, {.running = 6, .waiting = 4}, start);
+    CHECK(estimated_load(it, start) == doctest::Approx(11));
+    note_report(it, {.running = 0, .waiting = 0}, start + milliseconds(50));
+    const double after_quiet_report = estimated_load(it, start + milliseconds(50));
+    CHECK(after_quiet_report > 2);
+    CHECK(after_quiet_report < 11);
+    CHECK(estimated_load(it, start + milliseconds(8000)) < 1.1);
+}
+
+TEST_CASE("an endpoint that fails again is avoided for longer") {
+    endpoint_state it;
+    note_failure(it, start);
+    const auto first = it.avoided_until - start;
+    note_failure(it, start);
+    CHECK(it.avoided_until - start == first * 2);
+    note_answer(it);
+    CHECK(it.avoided_until <= start);
+    note_failure(it, start);
+    CHECK(it.avoided_until - start == first);
+}
+
+} // namespace lycheegap::traffic
--- /dev/null
+++ b/source/unit_tests/traffic/fleet_rates_test.cpp
@@ -0,0 +1,218 @@
+#include <deque>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "core/traffic/rate_home.h"
+#include "core/traffic/retry_share.h"
+
+// Searches histories of restarts and moving homes for a window in which the fleet passes more of a team's
+// requests than the limit allows.
+namespace lycheegap::traffic {
+
+namespace {
+
+using common::milliseconds;
+
+const common::time_point start{std::chrono::seconds(1000)};
+constexpr int host_count = 12;
+constexpr int step_ms = 20;
+constexpr int history_ms = 15000;
+const rate_bounds bounds{milliseconds(5000), 0.1, 20};
+
+fleet_members make_members(int hosts) {
+    fleet_members members;
+    for (int n = 0; n < hosts; ++n) {
+        fleet_member one;
+        one.name = "host-" + std::to_string(n);
+        one.region = "r" + std::to_string(n % 3);
+        one.domain = one.region + "-" + std::to_string(n % 6);
+        one.request_address = one.name;
+        one.peer_address = one.name;
+        members.emplace(one.name, one);
+    }
+    return members;
+}
+
+struct model_host {
+    std::string name;
+    team_tokens tokens;
+    home_bucket home;
+    fleet_members view;
+    /// When it learns of the members as they are.
+    int learns_at{0};
+};
+
+struct search {
+    team from;
+    std::mt19937_64 random;
+    fleet_members members;
+    std::vector<model_host> hosts;
+    std::deque<int> passed;
+    /// A restarted host and a new home begin with full buckets, as if nothing had been passed before.
+    bool naive{false};
+    std::size_t most{0};
+};
+
+common::time_point at(int ms) {
+    return start + milliseconds(ms);
+}
+
+void restart(search& it, model_host& host, int ms) {
+    host.tokens = {};
+    host.tokens.own.at = at(ms);
+    if (it.naive) {
+        host.tokens.own.tokens = 1e9;
+    }
+    host.home = {};
+    host.view = it.members;
+}
+
+void change_members(search& it, int ms) {
+    auto& host = it.hosts[std::uniform_int_distribution<std::size_t>(0, it.hosts.size() - 1)(it.random)];
+    if (it.members.contains(host.name) && it.members.size() > 3) {
+        it.members.erase(host.name);
+    } else {
+        it.members.emplace(host.name, make_members(host_count).at(host.name));
+        restart(it, host, ms);
+    }
+    for (auto& one : it.hosts) {
+        one.learns_at = ms + std::uniform_int_distribution(0, 500)(it.random);
+    }
+}
+
+void pass_one(search& it, model_host& host, int ms) {
+    const auto whole = fleet_limit(it.from, bounds);
+    const auto own = own_limit(whole, expected_part(host.view, host.name), host.view.size());
+    if (!take_team_token(host.tokens, own, at(ms))) {
+        const auto name = home_of(host.view, it.from.name);
+        for (auto& home : it.hosts) {
+            if (home.name != name || !it.members.contains(home.name)) {
+                continue;
+            }
+            const bool was_home = home.home.is_home;
+            note_home(home.home, home_of(home.view, it.from.name) == home.name, at(ms));
+            if (it.naive && !was_home) {
+                home.home.since = at(ms) - home_wait;
+                home.home.bucket = {1e9, at(ms)};
+            }
+            host.tokens.borrowed += lend(home.home, lent_limit(whole, home.view.size()), 2, at(ms));
+            host.tokens.borrowed_until = at(ms) + loan_time;
+        }
+        if (!take_team_token(host.tokens, own, at(ms))) {
+            return;
+        }
+    }
+    it.passed.push_back(ms);
+    while (it.passed.front() + 5000 <= ms) {
+        it.passed.pop_front();
+    }
+    it.most = std::max(it.most, it.passed.size());
+}
+
+/// 1 when some window of the history breaks the limit.
+int play(std::uint64_t seed, bool naive) {
+    search it;
+    it.random.seed(seed);
+    it.naive = naive;
+    it.from = {"kite",
+               0,
+               std::uniform_real_distribution(5.0, 150.0)(it.random),
+               std::uniform_real_distribution(0.0, 100.0)(it.random),
+               {}};
+    it.members = make_members(host_count);
+    for (const auto& [name, one] : it.members) {
+        it.hosts.push_back({name, {}, {}, it.members, 0});
+        it.hosts.back().tokens.own.at = start;
+    }
+    const bool storm = seed % 2 == 0;
+    for (int ms = 0; ms < history_ms; ms += step_ms) {
+        if (std::uniform_int_distribution(0, 99)(it.random) == 0) {
+            change_members(it, ms);
+        }
+        if (storm && ms == history_ms / 2) {
+            for (auto& host : it.hosts) {
+                restart(it, host, ms);
+            }
+        }
+        for (auto& host : it.hosts) {
+            if (ms >= host.learns_at) {
+                host.view = it.members;
+            }
+            // Eight times the rate, from all hosts that run.
+            const double mean = it.from.rate * 8 * step_ms / 1000.0 / host_count;
+            const int wanted = std::poisson_distribution(mean)(it.random);
+            for (int n = 0; n < wanted && it.members.contains(host.name); ++n) {
+                pass_one(it, host, ms);
+            }
+        }
+    }
+    const double allowed = (it.from.rate * 5 + it.from.burst) * 1.1 + 20;
+    return static_cast<double>(it.most) > allowed ? 1 : 0;
+}
+
+} // namespace
+
+TEST_CASE(
+    "no window holds more of a team's requests than the fleet's limit, over restarts and moving homes") {
+    int broken = 0;
+    int naive_broken = 0;
+    for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+        broken += play(seed, false);
+        naive_broken += seed <= 20 ? play(seed, true) : 0;
+    }
+    CHECK(broken == 0);
+    CHECK(naive_broken > 0);
+}
+
+TEST_CASE("a small team is served although its part on each host is under one token") {
+    const auto members = make_members(host_count);
+    const team small{"small", 0, 2, 2, {}};
+    const auto whole = fleet_limit(small, {milliseconds(5000), 0, 0});
+    home_bucket home;
+    note_home(home, true, start);
+    int passed = 0;
+    std::vector<team_tokens> tokens(host_count);
+    for (int ms = 0; ms < 10000; ms += 500) {
+        auto& host = tokens[static_cast<std::size_t>(ms / 500 % host_count)];
+        const auto own = own_limit(whole, expected_part(members, "host-1"), members.size());
+        if (!take_team_token(host, own, at(ms))) {
+            host.borrowed = lend(home, lent_limit(whole, members.size()), 1, at(ms));
+            host.borrowed_until = at(ms) + loan_time;
+            passed += take_team_token(host, own, at(ms)) ? 1 : 0;
+        }
+    }
+    // Two a second and a burst of two: all 20 requests in 10 s, but those before the home may lend.
+    CHECK(passed >= 15);
+}
+
+TEST_CASE("hosts agree on homes and relays, and their expected parts make one") {
+    const auto members = make_members(25);
+    double sum = 0;
+    for (const auto& [name, one] : members) {
+        sum += expected_part(members, name);
+    }
+    CHECK(sum == doctest::Approx(1));
+    CHECK(relay_hosts(members).size() == 3);
+    CHECK(relay_hosts(members) == relay_hosts(fleet_members(members)));
+    CHECK_FALSE(home_of(members, "kite").empty());
+    CHECK(home_of({}, "kite").empty());
+}
+
+TEST_CASE("hosts together keep to the limit of second sendings") {
+    const retry_limit limit{0.2, 133, milliseconds(10000), 25};
+    std::vector<retry_share> shares(25);
+    int requests = 0;
+    int repeats = 0;
+    for (int ms = 0; ms < 10000; ms += 10) {
+        for (auto& it : shares) {
+            note_request(it, at(ms));
+            ++requests;
+            repeats += take_repeat(it, limit, at(ms)) ? 1 : 0;
+        }
+    }
+    CHECK(repeats > 0);
+    CHECK(repeats <= 0.2 * requests + 133);
+}
+
+} // namespace lycheegap::traffic
