--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <mutex>
 
-#include "core/common/log.h"
+#include "core/common/digest.h"
 #include "core/schema/peer_codec.h"
 #include "fleet_link.h"
 
@@ -18,9 +18,12 @@
 constexpr milliseconds home_time{300};
 // A home that did not answer is not asked again for this time.
 constexpr milliseconds silent_home_pause{400};
-// Beyond this age of what the store confirmed, another host may have become the home.
-constexpr milliseconds home_knowledge{2500};
+// Beyond this age of what the store confirmed, another host may have become the home: its entry lapses at the
+// earliest after two thirds of its lease, and the next home waits on top of that.
+constexpr milliseconds home_knowledge{3000};
 constexpr double tokens_at_once = 100;
+constexpr milliseconds longest_pause{2000};
+constexpr milliseconds shortest_pause{50};
 
 const traffic::team* find_team_by_name(const traffic::configuration& config, std::string_view name) {
     const auto found = std::find_if(config.teams.begin(), config.teams.end(),
@@ -51,20 +54,34 @@
     const auto now = monotonic::now();
     const std::lock_guard guard(state.rates.mutex);
     auto& home = state.rates.homes[std::string(team)];
-    traffic::note_home(home, traffic::home_of(fleet->members, team) == state.options.host, now);
+    const auto homes = traffic::homes_of(fleet->members, team);
+    const bool is_home = std::find(homes.begin(), homes.end(), state.options.host) != homes.end();
+    traffic::note_home(home, is_home, now);
     const double granted = traffic::lend(home, lent, std::min(wanted, tokens_at_once), now);
     return {granted, granted > 0 ? milliseconds{0} : traffic::until_token(home.bucket, lent)};
 }
 
-/// Asks the home, wherever it is.
-awaitable<loan> borrow(gateway_state& state, const traffic::team& from, double wanted) {
-    const auto fleet = current_fleet(state);
-    const std::string home(traffic::home_of(fleet->members, from.name));
+bool is_silent(gateway_state& state, const std::string& home) {
+    const std::lock_guard guard(state.rates.mutex);
+    const auto found = state.rates.silent_until.find(home);
+    return found != state.rates.silent_until.end() && found->second > monotonic::now();
+}
+
+void note_silent(gateway_state& state, const std::string& home) {
+    common::count(state.metrics, "rate_homes_silent");
+    const std::lock_guard guard(state.rates.mutex);
+    state.rates.silent_until[home] = monotonic::now() + silent_home_pause;
+}
+
+/// Asks one home, which may be this host.
+awaitable<loan> ask_home(gateway_state& state, const traffic::team& from, std::string home, double wanted) {
     if (home == state.options.host) {
         co_return lend_here(state, from.name, wanted);
     }
     auto* link = state.link.load();
-    if (home.empty() || link == nullptr) {
+    const auto fleet = current_fleet(state);
+    const auto member = fleet->members.find(home);
+    if (link == nullptr || member == fleet->members.end() || is_silent(state, home)) {
         co_return loan{0, silent_home_pause};
     }
     schema::rate_question_t question;
@@ -72,18 +89,34 @@
     question.host = state.options.host;
     question.wanted = wanted;
     common::count(state.metrics, "rate_questions");
-    const auto address = fleet->members.find(home)->second.peer_address;
+    const auto address = member->second.peer_address;
     const auto answer = co_await ask_host(*link, address, schema::encode_peer(std::move(question)),
                                           monotonic::now() + home_time);
     const auto read = answer ? schema::decode<schema::peer_message>(*answer, address) : std::nullopt;
     const auto* lent = read ? read->body.Asrate_answer() : nullptr;
     if (lent == nullptr) {
-        common::count(state.metrics, "rate_homes_silent");
+        note_silent(state, home);
         co_return loan{0, silent_home_pause};
     }
     co_return loan{std::clamp(lent->granted, 0.0, wanted), milliseconds{std::max(lent->dry, 0)}};
 }
 
+/// Asks the homes one after the other until one lends. Hosts begin with different ones, so that all are used
+/// alike.
+awaitable<loan> borrow(gateway_state& state, const traffic::team& from, double wanted) {
+    const auto homes = traffic::homes_of(current_fleet(state)->members, from.name);
+    const auto first = common::stable_hash(state.options.host, common::stable_hash(from.name));
+    loan best{0, longest_pause};
+    for (std::size_t n = 0; n < homes.size(); ++n) {
+        const auto lent = co_await ask_home(state, from, homes[(first + n) % homes.size()], wanted);
+        if (lent.granted >= 1) {
+            co_return lent;
+        }
+        best.dry = std::min(best.dry, lent.dry);
+    }
+    co_return best;
+}
+
 /// Puts what was lent into the host's tokens and takes one.
 bool take_loan(traffic::team_tokens& tokens, const loan& lent, common::time_point asked_at) {
     tokens.asking = false;
@@ -137,7 +170,7 @@
     if (take_loan(state.rates.teams[from.name], lent, asked_at)) {
         co_return std::nullopt;
     }
-    co_return std::max(lent.dry, milliseconds{50});
+    co_return std::max(lent.dry, shortest_pause);
 }
 
 schema::bytes answer_rate_question(gateway_state& state, std::string_view team, double wanted) {
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <utility>
 
 #include "core/common/digest.h"
 
@@ -13,6 +15,8 @@
 constexpr double own_use = 0.6;
 // Fewer tokens than this on a host lie unused while other hosts lack them.
 constexpr double least_own_tokens = 1.5;
+// Two homes may be out of reach at once.
+constexpr std::size_t home_count = 3;
 // Demand is averaged over this time.
 constexpr double demand_time_s = 1.0;
 // Tokens are asked for so long ahead, within the time that they last.
@@ -32,22 +36,27 @@
 }
 
 rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts) {
-    const double use = 1 - own_part_of(fleet, hosts);
+    const auto homes = static_cast<double>(std::clamp<std::size_t>(hosts, 1, home_count));
+    const double use = (1 - own_part_of(fleet, hosts)) / homes;
     return {fleet.rate * use, fleet.capacity * use};
 }
 
-std::string_view home_of(const fleet_members& members, std::string_view team) {
+std::vector<std::string> homes_of(const fleet_members& members, std::string_view team) {
     const auto seed = common::stable_hash(team);
-    std::string_view home;
-    std::uint64_t best = 0;
+    std::vector<std::pair<std::uint64_t, std::string>> ranks;
     for (const auto& [name, it] : members) {
-        const auto rank = common::stable_hash(name, seed);
-        if (!it.peer_address.empty() && (home.empty() || rank > best)) {
-            home = name;
-            best = rank;
+        if (!it.peer_address.empty()) {
+            ranks.emplace_back(common::stable_hash(name, seed), name);
         }
     }
-    return home;
+    const auto homes = std::min(home_count, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(homes), ranks.end(),
+                      std::greater<>());
+    std::vector<std::string> names;
+    for (std::size_t n = 0; n < homes; ++n) {
+        names.push_back(ranks[n].second);
+    }
+    return names;
 }
 
 void note_home(home_bucket& home, bool is_home, common::time_point now) {
