--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -73,7 +73,7 @@
     return !state.endpoints.set.by_id.empty();
 }
 
-bool apply_configuration(gateway_state& state, std::shared_ptr<const traffic::configuration> newer) {
+bool apply_configuration(gateway_state& state, const std::shared_ptr<const traffic::configuration>& newer) {
     std::int64_t before = 0;
     {
         const std::lock_guard guard(state.routing.mutex);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -152,7 +152,7 @@
 bool is_ready(gateway_state& state);
 
 /// Puts a configuration in force; false when it is not newer.
-bool apply_configuration(gateway_state& state, std::shared_ptr<const traffic::configuration> newer);
+bool apply_configuration(gateway_state& state, const std::shared_ptr<const traffic::configuration>& newer);
 
 void apply_endpoint(gateway_state& state, traffic::endpoint_entry entry);
 /// Takes an endpoint out now, or at `due`.
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -178,7 +178,7 @@
     schema::rate_answer_t answer;
     answer.granted = lent.granted;
     answer.dry = static_cast<int>(lent.dry.count());
-    return schema::encode_peer(std::move(answer));
+    return schema::encode_peer(answer);
 }
 
 } // namespace lycheegap::gateway
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -137,7 +137,7 @@
     if (found == nullptr) {
         return nullptr;
     }
-    const auto chosen = found->endpoint;
+    auto chosen = found->endpoint;
     if (chosen->cold_until > now) {
         chosen->cold_sends.moments.push_back(now);
     }
--- a/source/unit_tests/traffic/placement_test.cpp
+++ b/source/unit_tests/traffic/placement_test.cpp
@@ -30,6 +30,7 @@
 
 std::vector<std::string> host_names(int hosts) {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(hosts));
     for (int n = 0; n < hosts; ++n) {
         names.push_back("host-" + std::to_string(n));
     }
