Copy an endpoint's entry under its lock; pool no connection that may still be cancelled

Cause: read through the diff. An attempt read the entry while another worker could replace it, and a caller that left in the moment of its answer could leave a cancelled connection among the idle ones, where it would have ended another request.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -97,8 +97,8 @@
     return admitted;
 }
 
-traffic::endpoint_ptr place_call(gateway_state& state, const admitted_call& it,
-                                 std::span<const std::string> tried) {
+std::optional<placed_call> place_call(gateway_state& state, const admitted_call& it,
+                                      std::span<const std::string> tried) {
     const auto fleet = current_fleet(state);
     const auto* service = traffic::find_service(*it.config, it.service);
     const double cold_rate = service == nullptr ? 0 : service->cold_rate;
@@ -113,7 +113,12 @@
         .cold_limit = cold_rate * state.options.cold_overage + state.options.cold_slack,
     };
     const std::lock_guard guard(state.endpoints.mutex);
-    return traffic::place_request(state.endpoints.set, wanted, monotonic::now());
+    auto endpoint = traffic::place_request(state.endpoints.set, wanted, monotonic::now());
+    if (!endpoint) {
+        return std::nullopt;
+    }
+    auto entry = endpoint->entry;
+    return placed_call{std::move(endpoint), std::move(entry)};
 }
 
 bool take_repeat(gateway_state& state, std::string_view service) {
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -29,9 +31,15 @@
 /// Checks route, key and regions, and picks the service. Does not wait.
 std::variant<refusal, admitted_call> admit_call(gateway_state& state, const call& it);
 
-/// Endpoint for the next attempt, or null.
-traffic::endpoint_ptr place_call(gateway_state& state, const admitted_call& it,
-                                 std::span<const std::string> tried);
+/// An endpoint for one attempt. The entry is a copy: the shared one changes under the lock of its table.
+struct placed_call {
+    traffic::endpoint_ptr endpoint;
+    traffic::endpoint_entry entry;
+};
+
+/// Endpoint for the next attempt, or nothing when none has room.
+std::optional<placed_call> place_call(gateway_state& state, const admitted_call& it,
+                                      std::span<const std::string> tried);
 
 /// Whether the service's retry limit has room for one more second sending; counts it.
 bool take_repeat(gateway_state& state, std::string_view service);
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -152,8 +152,9 @@
 } // namespace
 
 awaitable<attempt_result> attempt(gateway_state& state, call_ptr it, const admitted_call& admitted,
-                                  traffic::endpoint_ptr endpoint) {
-    const auto entry = endpoint->entry;
+                                  placed_call placed) {
+    const auto& entry = placed.entry;
+    const auto& endpoint = placed.endpoint;
     const auto connection = connection_for(state, entry, admitted.route->idempotent);
     const bool kept = connection->connected;
     std::shared_ptr<const exchange_request> request = make_request(state, *it, admitted, entry);
@@ -165,7 +166,12 @@
     auto exchange =
         co_await net::co_spawn(connection->strand, run_exchange(connection, request), net::use_awaitable);
     it->exchange.reset();
-    keep_connection(state, entry, connection);
+    if (it->abandoned) {
+        // A cancellation may still be on its way to the connection.
+        close_quietly(connection);
+    } else {
+        keep_connection(state, entry, connection);
+    }
     const auto end = exchange.end;
     const auto report = reported_load(exchange.answer, state.options.headers.load);
     auto result = judge(state.options.headers, std::move(exchange));
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -27,7 +27,7 @@
 
 /// Sends the request to one endpoint, on a kept connection where there is one.
 awaitable<attempt_result> attempt(gateway_state& state, call_ptr it, const admitted_call& admitted,
-                                  traffic::endpoint_ptr endpoint);
+                                  placed_call placed);
 
 /// Closes idle connections that their endpoints will drop, and those of endpoints that are gone.
 void sweep_connections(gateway_state& state);
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -87,9 +87,9 @@
 
 /// One attempt; true when `it` has its answer.
 awaitable<bool> try_endpoint(gateway_state& state, caller_ptr from, call_ptr it, std::shared_ptr<journey> way,
-                             traffic::endpoint_ptr endpoint) {
-    way->tried.push_back(endpoint->entry.id);
-    auto result = co_await attempt(state, it, way->admitted, endpoint);
+                             placed_call placed) {
+    way->tried.push_back(placed.entry.id);
+    auto result = co_await attempt(state, it, way->admitted, std::move(placed));
     way->last_reason = result.reason;
     if (result.kind == attempt_kind::answered) {
         finish(state, *from, *it, onward_answer(std::move(result.answer), it->request), way.get(),
@@ -114,11 +114,11 @@
 awaitable<void> run_journey(gateway_state& state, caller_ptr from, call_ptr it,
                             std::shared_ptr<journey> way) {
     while (!it->abandoned) {
-        const auto endpoint = place_call(state, way->admitted, way->tried);
-        if (!endpoint) {
+        auto placed = place_call(state, way->admitted, way->tried);
+        if (!placed) {
             break;
         }
-        const bool answered = co_await try_endpoint(state, from, it, way, endpoint);
+        const bool answered = co_await try_endpoint(state, from, it, way, std::move(*placed));
         if (answered || it->abandoned) {
             break;
         }
