See a caller's close behind requests that it sent before

These callers pipeline: the check for a close looked at the next byte in the socket, and that was the next request; with eight requests under way the reader did not look at all. Ruled out: descriptors (2 failed accepts, after the first such request). Test: "a caller that leaves with a full pipeline ..." failed before (none of 8 cancelled).

--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include "core/common/log.h"
@@ -172,15 +173,16 @@
     }
 }
 
-/// Whether the caller has closed the connection and nothing else lies in the socket.
+/// Whether the caller has closed the connection, also while requests that it sent before lie unread.
 bool has_left(caller_connection& it) {
-    char byte = 0;
-    return it.input.size() == 0 && recv(it.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    pollfd one{it.socket.native_handle(), POLLRDHUP, 0};
+    return poll(&one, 1, 0) > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 awaitable<void> read_calls(gateway_state& state, caller_ptr it) {
     while (!it->gone && !it->ending) {
-        if (it->calls.size() >= pipeline_depth) {
+        it->full = it->calls.size() >= pipeline_depth;
+        if (it->full) {
             co_await wait_for_change(*it);
             continue;
         }
@@ -327,7 +329,9 @@
         set_read_due(*it, linger_time);
         return;
     }
-    if (!it->gone && overdue) {
+    // The reader waits for room, not for the caller's close, while the pipeline is full.
+    const bool left_behind = it->calls.size() >= pipeline_depth && !it->gone && has_left(*it);
+    if (!it->gone && (overdue || left_behind)) {
         abandon_all(*it);
     }
 }
@@ -354,7 +358,7 @@
     const auto now = monotonic::now();
     const auto open = open_callers(state);
     for (const auto& it : open) {
-        if (is_overdue(*it, now) || (close_idle && it->idle)) {
+        if (is_overdue(*it, now) || it->full || (close_idle && it->idle)) {
             net::post(it->strand, [it, close_idle] { close_overdue(it, close_idle); });
         }
     }
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -27,6 +27,8 @@
     bool gone{false};
     /// Nothing has arrived and nothing is under way.
     std::atomic<bool> idle{true};
+    /// As many requests are under way as are served at once.
+    std::atomic<bool> full{false};
     /// Moment from which it has been idle; ticks of the monotonic clock.
     std::atomic<common::monotonic::rep> idle_since{0};
     /// The connection is closed when the next byte has not come by then; ticks of the monotonic clock.
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -232,6 +232,27 @@
     CHECK(endpoint.left_early == 1);
 }
 
+TEST_CASE("a caller that leaves with a full pipeline takes all its requests with it") {
+    scripted_endpoint endpoint([](const auto&) {
+        return scripted_reply{whole_answer("late"), false, false, 900};
+    });
+    const test_host host;
+    host.use(endpoint);
+    std::string text;
+    for (int n = 0; n < 12; ++n) {
+        text += request_text("/read/1", fmt::format("q{}", n));
+    }
+    talk(host.address(), text, "late", 100);
+    const auto due = common::monotonic::now() + milliseconds(700);
+    while (endpoint.left_early < 8 && common::monotonic::now() < due) {
+        std::this_thread::yield();
+    }
+    const auto arrived = endpoint.heads().size();
+    CHECK(endpoint.left_early == static_cast<int>(arrived));
+    CHECK(arrived >= 6);
+    CHECK(arrived <= 8);
+}
+
 TEST_CASE("the final answer comes at the route's time limit") {
     scripted_endpoint silent([](const auto&) { return scripted_reply{"", false, false, 4000}; });
     const test_host host;
