--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -14,10 +14,13 @@
 using common::milliseconds;
 using common::monotonic;
 
-// Two crossings between regions; a home that takes longer is passed over.
+// For all homes of a team together: two crossings between regions and one lost packet. A request is not held
+// longer, since its caller waits.
 constexpr milliseconds home_time{300};
-// A home that did not answer is not asked again for this time.
-constexpr milliseconds silent_home_pause{400};
+// A home that did not answer is not asked again for this time; the others lend meanwhile.
+constexpr milliseconds silent_home_pause{1500};
+// A request that no home could be asked for comes back after this time.
+constexpr milliseconds unknown_pause{400};
 // Beyond this age of what the store confirmed, another host may have become the home: its entry lapses at the
 // earliest after two thirds of its lease, and the next home waits on top of that.
 constexpr milliseconds home_knowledge{3000};
@@ -47,7 +50,7 @@
     const auto* from = config ? find_team_by_name(*config, team) : nullptr;
     const auto fleet = current_fleet(state);
     if (from == nullptr || !knows_members(state)) {
-        return {0, silent_home_pause};
+        return {0, unknown_pause};
     }
     const auto lent =
         traffic::lent_limit(traffic::fleet_limit(*from, state.options.rates), fleet->names.size());
@@ -74,7 +77,8 @@
 }
 
 /// Asks one home, which may be this host.
-awaitable<loan> ask_home(gateway_state& state, const traffic::team& from, std::string home, double wanted) {
+awaitable<loan> ask_home(gateway_state& state, const traffic::team& from, std::string home, double wanted,
+                         common::time_point due) {
     if (home == state.options.host) {
         co_return lend_here(state, from.name, wanted);
     }
@@ -82,7 +86,7 @@
     const auto fleet = current_fleet(state);
     const auto member = fleet->members.find(home);
     if (link == nullptr || member == fleet->members.end() || is_silent(state, home)) {
-        co_return loan{0, silent_home_pause};
+        co_return loan{0, unknown_pause};
     }
     schema::rate_question_t question;
     question.team = from.name;
@@ -90,13 +94,12 @@
     question.wanted = wanted;
     common::count(state.metrics, "rate_questions");
     const auto address = member->second.peer_address;
-    const auto answer = co_await ask_host(*link, address, schema::encode_peer(std::move(question)),
-                                          monotonic::now() + home_time);
+    const auto answer = co_await ask_host(*link, address, schema::encode_peer(std::move(question)), due);
     const auto read = answer ? schema::decode<schema::peer_message>(*answer, address) : std::nullopt;
     const auto* lent = read ? read->body.Asrate_answer() : nullptr;
     if (lent == nullptr) {
         note_silent(state, home);
-        co_return loan{0, silent_home_pause};
+        co_return loan{0, unknown_pause};
     }
     co_return loan{std::clamp(lent->granted, 0.0, wanted), milliseconds{std::max(lent->dry, 0)}};
 }
@@ -106,9 +109,10 @@
 awaitable<loan> borrow(gateway_state& state, const traffic::team& from, double wanted) {
     const auto homes = traffic::homes_of(current_fleet(state)->members, from.name);
     const auto first = common::stable_hash(state.options.host, common::stable_hash(from.name));
+    const auto due = monotonic::now() + home_time;
     loan best{0, longest_pause};
-    for (std::size_t n = 0; n < homes.size(); ++n) {
-        const auto lent = co_await ask_home(state, from, homes[(first + n) % homes.size()], wanted);
+    for (std::size_t n = 0; n < homes.size() && monotonic::now() < due; ++n) {
+        const auto lent = co_await ask_home(state, from, homes[(first + n) % homes.size()], wanted, due);
         if (lent.granted >= 1) {
             co_return lent;
         }
