--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -144,12 +144,4 @@
     return chosen;
 }
 
-bool has_free_slot(const endpoint_set& set, const placement_request& wanted, common::time_point now) {
-    const auto all = set.by_service.find(wanted.service);
-    return all != set.by_service.end() &&
-           std::any_of(all->second.begin(), all->second.end(), [&](const endpoint_ptr& it) {
-               return may_serve(set, *it, wanted) && estimated_load(*it, now) < it->entry.slots;
-           });
-}
-
 } // namespace lycheegap::traffic
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -34,7 +34,4 @@
 /// Whether this host is one of the few that may send to a cold endpoint; all hosts agree on them.
 bool may_use_cold(const placement_request& wanted, std::string_view endpoint_id);
 
-/// Whether some endpoint that the request may use has a free slot.
-bool has_free_slot(const endpoint_set& set, const placement_request& wanted, common::time_point now);
-
 } // namespace lycheegap::traffic
