Log why each attempt went to its endpoint, and each change of a cold time

No log told whether any host knew that the endpoint was cold: a changed cold time did not count as a change of an endpoint, and sendings that succeed left no line that says why they were allowed.

No decision changes.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -119,13 +119,20 @@
         .target_latency = it.route->target_latency,
         .cold_limit = cold_rate * state.options.cold_overage + state.options.cold_slack,
     };
+    placement_basis basis;
+    basis.hosts = fleet->names.size();
+    basis.hosts_confirmed_at = confirmed_at(state);
+    const auto now = monotonic::now();
     const std::lock_guard guard(state.endpoints.mutex);
-    auto endpoint = traffic::place_request(state.endpoints.set, wanted, monotonic::now());
+    auto endpoint = traffic::place_request(state.endpoints.set, wanted, now);
     if (!endpoint) {
         return std::nullopt;
     }
+    basis.is_cold = traffic::is_cold(*endpoint, now);
+    basis.cold = endpoint->cold;
+    basis.cold_room = basis.is_cold ? traffic::cold_room(*endpoint, wanted, now) : 0;
     auto entry = endpoint->entry;
-    return placed_call{std::move(endpoint), std::move(entry)};
+    return placed_call{std::move(endpoint), std::move(entry), basis};
 }
 
 bool take_repeat(gateway_state& state, std::string_view service) {
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -31,10 +31,22 @@
 /// Checks route, key and regions, and picks the service. Does not wait.
 std::variant<refusal, admitted_call> admit_call(gateway_state& state, const call& it);
 
+/// What a host went by when it placed an attempt, for its log.
+struct placement_basis {
+    bool is_cold{false};
+    traffic::cold_belief cold;
+    /// Requests that the host may still send to the endpoint in this second, when it is cold.
+    double cold_room{0};
+    /// Hosts of the fleet, and the moment at which the store confirmed them.
+    std::size_t hosts{0};
+    common::time_point hosts_confirmed_at;
+};
+
 /// An endpoint for one attempt. The entry is a copy: the shared one changes under the lock of its table.
 struct placed_call {
     traffic::endpoint_ptr endpoint;
     traffic::endpoint_entry entry;
+    placement_basis basis;
 };
 
 /// Endpoint for the next attempt, or nothing when none has room.
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -137,6 +137,28 @@
     }
 }
 
+/// Why this host took the endpoint: what it believed, from where, and how old that was.
+void log_sending(gateway_state& state, const call& it, const placed_call& placed, bool kept) {
+    const auto& basis = placed.basis;
+    common::count(state.metrics, basis.is_cold ? "cold_attempts" : "warm_attempts");
+    if (!may_log(state)) {
+        return;
+    }
+    const auto now = monotonic::now();
+    const bool told = basis.cold.told_at != common::time_point{};
+    common::log_info(
+        "attempt_sent",
+        {field("request_id", to_view(it.request[state.options.headers.request_id])),
+         field("endpoint", placed.entry.id), field("kept_connection", kept),
+         field("basis", basis.is_cold ? "cold_share" : "warm"),
+         field("cold_ms", basis.is_cold ? common::milliseconds_between(now, basis.cold.until) : 0),
+         field("cold_source", traffic::source_name(basis.cold.source)),
+         field("cold_told_ms", told ? common::milliseconds_between(basis.cold.told_at, now) : -1),
+         field("revision", basis.cold.revision), field("cold_room", basis.cold_room),
+         field("hosts", basis.hosts),
+         field("hosts_age_ms", common::milliseconds_between(basis.hosts_confirmed_at, now))});
+}
+
 void log_attempt(gateway_state& state, const call& it, const traffic::endpoint_entry& entry,
                  const attempt_result& result, bool kept) {
     if (result.kind == attempt_kind::answered || !may_log(state)) {
@@ -162,6 +184,7 @@
         const std::lock_guard guard(state.endpoints.mutex);
         traffic::note_sent(*endpoint, monotonic::now());
     }
+    log_sending(state, *it, placed, kept);
     it->exchange = connection;
     auto exchange =
         co_await net::co_spawn(connection->strand, run_exchange(connection, request), net::use_awaitable);
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -65,6 +65,11 @@
     return state.fleet.view;
 }
 
+common::time_point confirmed_at(gateway_state& state) {
+    const std::lock_guard guard(state.mirror.mutex);
+    return state.mirror.mirror.confirmed_at;
+}
+
 bool is_ready(gateway_state& state) {
     if (state.stopping || !current_configuration(state)) {
         return false;
@@ -105,7 +110,8 @@
                      {field("endpoint", known.id), field("change", change_name(change)),
                       field("service", known.service), field("address", known.address),
                       field("domain", known.domain), field("leaving", known.leaving),
-                      field("slots", known.slots), field("cold_ms", known.cold_for.count())});
+                      field("slots", known.slots), field("cold_ms", known.cold_for.count()),
+                      field("revision", known.revision)});
 }
 
 void drop_endpoint(gateway_state& state, std::string_view id, std::optional<common::time_point> due) {
@@ -129,7 +135,8 @@
         const std::lock_guard guard(state.endpoints.mutex);
         traffic::set_vacated(state.endpoints.set, domain, vacated, monotonic::now(), cold_time);
     }
-    common::log_info("domain_vacated", {field("domain", domain), field("vacated", vacated)});
+    common::log_info("domain_vacated", {field("domain", domain), field("vacated", vacated),
+                                        field("cold_ms", vacated ? 0 : cold_time.count())});
 }
 
 void apply_member(gateway_state& state, traffic::fleet_member member) {
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -150,6 +150,9 @@
 std::shared_ptr<const traffic::configuration> current_configuration(gateway_state& state);
 std::shared_ptr<const fleet_view> current_fleet(gateway_state& state);
 
+/// Moment at which the store confirmed last what this host knows of it.
+common::time_point confirmed_at(gateway_state& state);
+
 /// Whether callers may be sent here: configuration and endpoints are known and no stop has begun.
 bool is_ready(gateway_state& state);
 
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -33,8 +33,7 @@
 }
 
 bool knows_members(gateway_state& state) {
-    const std::lock_guard guard(state.mirror.mutex);
-    return monotonic::now() - state.mirror.mirror.confirmed_at <= home_knowledge;
+    return monotonic::now() - confirmed_at(state) <= home_knowledge;
 }
 
 using traffic::token_loan;
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -31,15 +31,18 @@
 } // namespace
 
 endpoint_change put_endpoint(endpoint_set& set, endpoint_entry entry, common::time_point now) {
-    const auto cold_until = now + entry.cold_for;
+    const cold_belief cold{now + entry.cold_for,
+                           entry.cold_for.count() > 0 ? cold_source::entry : cold_source::none, now,
+                           entry.revision};
     const auto found = set.by_id.find(entry.id);
     if (found != set.by_id.end() && is_same_endpoint(found->second->entry, entry)) {
         auto& known = *found->second;
         const bool changed = known.entry.leaving != entry.leaving || known.entry.slots != entry.slots ||
-                             known.entry.domain != entry.domain || known.removal_due.has_value();
+                             known.entry.domain != entry.domain || known.removal_due.has_value() ||
+                             (entry.cold_for.count() > 0 && cold.until > known.cold.until);
         known.entry = std::move(entry);
         known.removal_due.reset();
-        known.cold_until = cold_until;
+        known.cold = cold;
         return changed ? endpoint_change::updated : endpoint_change::none;
     }
     const bool replaces = found != set.by_id.end();
@@ -48,7 +51,7 @@
     }
     const auto made = std::make_shared<endpoint_state>();
     made->entry = std::move(entry);
-    made->cold_until = cold_until;
+    made->cold = cold;
     set.by_id[made->entry.id] = made;
     add_to_service(set, made);
     return replaces ? endpoint_change::replaced : endpoint_change::added;
@@ -97,11 +100,27 @@
     set.vacated_domains.erase(found);
     for (const auto& [id, it] : set.by_id) {
         if (it->entry.domain == domain) {
-            it->cold_until = std::max(it->cold_until, now + cold_time);
+            it->cold = {std::max(it->cold.until, now + cold_time), cold_source::vacated, now, 0};
         }
     }
 }
 
+bool is_cold(const endpoint_state& it, common::time_point now) {
+    return it.cold.until > now;
+}
+
+std::string_view source_name(cold_source source) {
+    switch (source) {
+    case cold_source::entry:
+        return "entry";
+    case cold_source::vacated:
+        return "vacated";
+    case cold_source::none:
+        break;
+    }
+    return "none";
+}
+
 bool accepts_work(const endpoint_set& set, const endpoint_state& it) {
     return !it.entry.leaving && !set.vacated_domains.contains(it.entry.domain);
 }
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -29,6 +29,21 @@
     std::int64_t born{0};
     /// Rest of its cold time at the moment of the entry.
     common::milliseconds cold_for{0};
+    /// Revision of the entry in the store, 0 where there is none.
+    std::uint64_t revision{0};
+};
+
+/// Where a host has it from that an endpoint is cold.
+enum class cold_source : std::uint8_t { none, entry, vacated };
+
+/// What a host believes of an endpoint's cold time.
+struct cold_belief {
+    common::time_point until;
+    cold_source source{cold_source::none};
+    /// Moment at which this host was told.
+    common::time_point told_at;
+    /// Revision of the entry that told it; 0 for other sources.
+    std::uint64_t revision{0};
 };
 
 /// Load that an endpoint reported in an answer.
@@ -46,7 +61,7 @@
 /// One endpoint as this host knows it.
 struct endpoint_state {
     endpoint_entry entry;
-    common::time_point cold_until;
+    cold_belief cold;
     /// Requests of this host at the endpoint.
     int in_flight{0};
     std::optional<foreign_load> others;
@@ -73,7 +88,8 @@
 
 enum class endpoint_change : std::uint8_t { none, added, updated, replaced };
 
-/// Takes a newer entry. An id with another start or address replaces the endpoint.
+/// Takes a newer entry. An id with another start or address replaces the endpoint. An endpoint that becomes
+/// cold, or stays so for longer, counts as updated.
 endpoint_change put_endpoint(endpoint_set& set, endpoint_entry entry, common::time_point now);
 
 /// Removes an endpoint; false when it was not there.
@@ -89,6 +105,12 @@
 void set_vacated(endpoint_set& set, std::string_view domain, bool vacated, common::time_point now,
                  common::milliseconds cold_time);
 
+/// Whether the endpoint is cold, as far as this host knows.
+bool is_cold(const endpoint_state& it, common::time_point now);
+
+/// Name of a source, for logs.
+std::string_view source_name(cold_source source);
+
 /// Whether new work may go to the endpoint, apart from its load.
 bool accepts_work(const endpoint_set& set, const endpoint_state& it);
 
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -49,12 +49,6 @@
     return std::max(1.0, wanted.cold_limit * cold_use / static_cast<double>(sharers));
 }
 
-/// Whether a cold endpoint has room for one more request of this host.
-bool has_cold_room(endpoint_state& it, const placement_request& wanted, common::time_point now) {
-    return may_use_cold(wanted, it.entry.id) &&
-           static_cast<double>(count_in(it.cold_sends, now, one_second)) + 1 <= cold_share(wanted);
-}
-
 std::uint64_t rank_of(const endpoint_state& it, const placement_request& wanted) {
     if (wanted.object.empty()) {
         return 0;
@@ -75,7 +69,7 @@
         return found;
     }
     for (const auto& it : all->second) {
-        if (!may_serve(set, *it, wanted) || (it->cold_until > now && !has_cold_room(*it, wanted, now))) {
+        if (!may_serve(set, *it, wanted) || (is_cold(*it, now) && cold_room(*it, wanted, now) < 1)) {
             continue;
         }
         found.push_back({it, rank_of(*it, wanted), estimated_load(*it, now), is_avoided(*it, wanted, now)});
@@ -134,6 +128,13 @@
     return static_cast<std::size_t>(before) < cold_hosts;
 }
 
+double cold_room(endpoint_state& it, const placement_request& wanted, common::time_point now) {
+    if (!may_use_cold(wanted, it.entry.id)) {
+        return 0;
+    }
+    return cold_share(wanted) - static_cast<double>(count_in(it.cold_sends, now, one_second));
+}
+
 endpoint_ptr place_request(endpoint_set& set, const placement_request& wanted, common::time_point now) {
     auto all = candidates_for(set, wanted, now);
     if (all.empty()) {
@@ -144,7 +145,7 @@
         return nullptr;
     }
     auto chosen = found->endpoint;
-    if (chosen->cold_until > now) {
+    if (is_cold(*chosen, now)) {
         chosen->cold_sends.moments.push_back(now);
     }
     return chosen;
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -33,6 +33,10 @@
 /// cold endpoint.
 endpoint_ptr place_request(endpoint_set& set, const placement_request& wanted, common::time_point now);
 
+/// Requests that this host may still send to a cold endpoint in the second that ends now; 0 when it is not
+/// one of the few that may.
+double cold_room(endpoint_state& it, const placement_request& wanted, common::time_point now);
+
 /// Whether this host is one of the few that may send to a cold endpoint; all hosts agree on them.
 bool may_use_cold(const placement_request& wanted, std::string_view endpoint_id);
 
--- a/source/unit_tests/traffic/endpoint_set_test.cpp
+++ b/source/unit_tests/traffic/endpoint_set_test.cpp
@@ -44,7 +44,7 @@
     CHECK_FALSE(accepts_work(set, *a));
     set_vacated(set, "north", false, start, milliseconds(3000));
     CHECK(accepts_work(set, *a));
-    CHECK(a->cold_until == start + milliseconds(3000));
+    CHECK(a->cold.until == start + milliseconds(3000));
     auto leaving = entry("a");
     leaving.leaving = true;
     CHECK(put_endpoint(set, leaving, start) == endpoint_change::updated);
--- a/source/unit_tests/traffic/placement_test.cpp
+++ b/source/unit_tests/traffic/placement_test.cpp
@@ -111,7 +111,7 @@
     std::vector<endpoint_set> sets;
     for (std::size_t n = 0; n < hosts.size(); ++n) {
         sets.push_back(make_set(1));
-        sets.back().by_id["e0"]->cold_until = start + milliseconds(5000);
+        sets.back().by_id["e0"]->cold.until = start + milliseconds(5000);
     }
     int sent = 0;
     for (int ms = 0; ms < 1000; ms += 10) {
