--- a/source/unit_tests/gateway/state_mirror_test.cpp
+++ b/source/unit_tests/gateway/state_mirror_test.cpp
@@ -40,6 +40,15 @@
     CHECK(merge_update(mirror, update(8, {{"a", "2", 8, 0, false}})).size() == 1);
 }
 
+TEST_CASE("a key that came and went between two reads is told as gone") {
+    state_mirror mirror;
+    merge_update(mirror, update(2, {{"a", "1", 1, 0, false}}, true));
+    const auto news = merge_update(mirror, update(4, {{"vacated", "", 4, 0, true}}));
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].key == "vacated");
+    CHECK(news[0].removed);
+}
+
 TEST_CASE("a host that is behind gets what it lacks, removals included") {
     state_mirror mirror;
     merge_update(mirror, update(2, {{"a", "1", 1, 0, false}, {"b", "1", 2, 0, false}}, true));
--- a/source/unit_tests/traffic/endpoint_set_test.cpp
+++ b/source/unit_tests/traffic/endpoint_set_test.cpp
@@ -51,6 +51,29 @@
     CHECK_FALSE(accepts_work(set, *a));
 }
 
+TEST_CASE("an entry written before its domain was vacated does not end the cold time") {
+    endpoint_set set;
+    put_endpoint(set, entry("a"), start);
+    set_vacated(set, "north", true, start, milliseconds(3000));
+    set_vacated(set, "north", false, start, milliseconds(3000));
+    // The same endpoint registers once more, with what it wrote before.
+    put_endpoint(set, entry("a"), start + milliseconds(100));
+    CHECK(is_cold(*set.by_id["a"], start + milliseconds(200)));
+    // One that was away meanwhile comes back with it.
+    put_endpoint(set, entry("b"), start + milliseconds(100));
+    CHECK(is_cold(*set.by_id["b"], start + milliseconds(200)));
+}
+
+TEST_CASE("an endpoint that lapses and returns is as cold as it was") {
+    endpoint_set set;
+    auto cold = entry("a");
+    cold.cold_for = milliseconds(3000);
+    put_endpoint(set, cold, start);
+    remove_endpoint(set, "a");
+    put_endpoint(set, entry("a"), start + milliseconds(500));
+    CHECK(is_cold(*set.by_id["a"], start + milliseconds(600)));
+}
+
 TEST_CASE("an entry that lapsed while the store was away is back in time or goes") {
     endpoint_set set;
     put_endpoint(set, entry("back"), start);
--- a/source/unit_tests/traffic/placement_test.cpp
+++ b/source/unit_tests/traffic/placement_test.cpp
@@ -127,6 +127,22 @@
     CHECK(sent <= limit);
 }
 
+TEST_CASE("hosts that see no fleet do not each take a part of a cold endpoint's limit") {
+    const double limit = 6 * 1.5 + 5;
+    int sent = 0;
+    for (const auto& host : host_names(25)) {
+        auto set = make_set(1);
+        set.by_id["e0"]->cold.until = start + milliseconds(5000);
+        for (int ms = 0; ms < 1000; ms += 10) {
+            auto wanted = request("object");
+            wanted.host = host;
+            wanted.cold_limit = limit;
+            sent += place_request(set, wanted, start + milliseconds(ms)) != nullptr ? 1 : 0;
+        }
+    }
+    CHECK(sent <= limit);
+}
+
 TEST_CASE("without an object the least loaded endpoint is taken") {
     auto set = make_set(3);
     set.by_id["e0"]->in_flight = 2;
