Share a cold endpoint's limit only among surely known members, and keep what is known of it

What callers saw: more requests in one second at a cold endpoint than the fleet may send (FAILBACK); it fell over, and its requests ended with 502.

Cause: a limit of the whole fleet was kept by each host's own view of the fleet and of the endpoint. A host that sees few hosts, or none, counted itself among the two that may send, with a larger part; while members come and go old and new hosts sent in one second; an entry, also an older one, replaced the cold time of a domain taken back; an endpoint that returned, or appeared in such a domain, started warm and without count of what was sent.

Now: a host has a share only while it is a member without a break for 4 s, the store has confirmed the members within 3 s, and at most one host goes before it among those that are or lately were members. The share never grows with fewer hosts. A cold time never becomes shorter within one life of an endpoint and outlasts its entry, as do the counts; an endpoint that turns cold in use rests for 2 s, until all hosts know it.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -114,8 +114,7 @@
         .region = state.options.region,
         .regions = it.regions,
         .tried = tried,
-        .hosts = fleet->names,
-        .host = state.options.host,
+        .knowledge = fleet_knowledge_of(state, *fleet),
         .target_latency = it.route->target_latency,
         .cold_limit = cold_rate * state.options.cold_overage + state.options.cold_slack,
     };
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -33,6 +33,7 @@
         sweep_callers(state, false);
         sweep_connections(state);
         expire_waiters(state.mirror);
+        forget_former_members(state);
         follow_homes(state);
         std::vector<std::string> gone;
         {
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -18,15 +18,6 @@
     return std::make_shared<fleet_view>(*state.fleet.view);
 }
 
-void replace_fleet(gateway_state& state, std::shared_ptr<fleet_view> next) {
-    next->names.clear();
-    for (const auto& [name, it] : next->members) {
-        next->names.push_back(name);
-    }
-    next->own_part = traffic::expected_part(next->members, state.options.host);
-    state.fleet.view = std::move(next);
-}
-
 std::string_view change_name(traffic::endpoint_change change) {
     switch (change) {
     case traffic::endpoint_change::added:
@@ -70,6 +61,10 @@
     return state.mirror.mirror.confirmed_at;
 }
 
+traffic::fleet_knowledge fleet_knowledge_of(gateway_state& state, const fleet_view& fleet) {
+    return {state.options.host, &fleet, confirmed_at(state) + traffic::membership_validity};
+}
+
 bool is_ready(gateway_state& state) {
     if (state.stopping || !current_configuration(state)) {
         return false;
@@ -116,15 +111,16 @@
 
 void drop_endpoint(gateway_state& state, std::string_view id, std::optional<common::time_point> due) {
     bool removed = false;
+    bool held = false;
     {
         const std::lock_guard guard(state.endpoints.mutex);
         if (due) {
-            traffic::remove_endpoint_later(state.endpoints.set, id, *due);
+            held = traffic::remove_endpoint_later(state.endpoints.set, id, *due);
         } else {
-            removed = traffic::remove_endpoint(state.endpoints.set, id);
+            removed = traffic::remove_endpoint(state.endpoints.set, id, monotonic::now());
         }
     }
-    if (removed || due) {
+    if (removed || held) {
         common::log_info("endpoint_gone", {field("endpoint", id), field("at_once", removed)});
     }
 }
@@ -145,9 +141,9 @@
     {
         const std::lock_guard guard(state.fleet.mutex);
         auto next = copy_fleet(state);
-        next->members[name] = std::move(member);
-        replace_fleet(state, std::move(next));
-        hosts = state.fleet.view->names.size();
+        traffic::add_member(*next, std::move(member), state.options.host, monotonic::now());
+        hosts = next->names.size();
+        state.fleet.view = std::move(next);
     }
     common::log_info("host_joined", {field("host", name), field("hosts", hosts)});
 }
@@ -156,17 +152,27 @@
     std::size_t hosts = 0;
     {
         const std::lock_guard guard(state.fleet.mutex);
-        if (!state.fleet.view->members.contains(name)) {
+        auto next = copy_fleet(state);
+        if (!traffic::remove_member(*next, name, state.options.host, monotonic::now())) {
             return;
         }
-        auto next = copy_fleet(state);
-        next->members.erase(next->members.find(name));
-        replace_fleet(state, std::move(next));
-        hosts = state.fleet.view->names.size();
+        hosts = next->names.size();
+        state.fleet.view = std::move(next);
     }
     common::log_info("host_left", {field("host", name), field("hosts", hosts)});
 }
 
+void forget_former_members(gateway_state& state) {
+    const std::lock_guard guard(state.fleet.mutex);
+    if (state.fleet.view->former.empty()) {
+        return;
+    }
+    auto next = copy_fleet(state);
+    if (traffic::forget_former(*next, monotonic::now())) {
+        state.fleet.view = std::move(next);
+    }
+}
+
 bool may_log(gateway_state& state) {
     bool free = false;
     {
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "core/traffic/configuration.h"
 #include "core/traffic/directory.h"
 #include "core/traffic/endpoint_set.h"
+#include "core/traffic/fleet_view.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
@@ -69,14 +70,7 @@
     std::map<std::string, split_credits, std::less<>> credits;
 };
 
-/// Hosts of the fleet, replaced as a whole.
-struct fleet_view {
-    traffic::fleet_members members;
-    /// Names of all members in order.
-    std::vector<std::string> names;
-    /// This host's part of all callers; 0 while it is not a member.
-    double own_part{0};
-};
+using traffic::fleet_view;
 
 struct fleet_table {
     common::ranked_mutex mutex{common::lock_rank::fleet_table};
@@ -150,6 +144,9 @@
 std::shared_ptr<const traffic::configuration> current_configuration(gateway_state& state);
 std::shared_ptr<const fleet_view> current_fleet(gateway_state& state);
 
+/// What this host may go by when it uses a share of a limit of the whole fleet. Refers to `fleet`.
+traffic::fleet_knowledge fleet_knowledge_of(gateway_state& state, const fleet_view& fleet);
+
 /// Moment at which the store confirmed last what this host knows of it.
 common::time_point confirmed_at(gateway_state& state);
 
@@ -165,6 +162,8 @@
 void apply_vacated(gateway_state& state, std::string_view domain, bool vacated);
 void apply_member(gateway_state& state, traffic::fleet_member member);
 void drop_member(gateway_state& state, std::string_view name);
+/// Drops what is remembered of hosts that left long ago.
+void forget_former_members(gateway_state& state);
 
 /// Whether a line about a request may be logged now; counts those that may not.
 bool may_log(gateway_state& state);
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -14,6 +14,8 @@
 // First pause for an endpoint that failed; it doubles with each further failure in a row.
 constexpr common::milliseconds first_avoidance{250};
 constexpr common::milliseconds longest_avoidance{4000};
+// Entries that lapse for a while return within a few seconds.
+constexpr common::milliseconds memory_time{10'000};
 
 void add_to_service(endpoint_set& set, const endpoint_ptr& it) {
     set.by_service[it->entry.service].push_back(it);
@@ -28,50 +30,84 @@
     return a.born == b.born && a.address == b.address && a.service == b.service;
 }
 
+void remember(endpoint_set& set, const endpoint_state& it, common::time_point now) {
+    set.gone[it.entry.id] = {it.entry.born, it.cold, it.cold_sends,
+                             std::max(now + memory_time, it.cold.until)};
+}
+
+/// Takes over what is known of an endpoint from before. Another start under the same id ends the cold time,
+/// but not what was sent.
+void recall(endpoint_set& set, endpoint_state& it, common::time_point now) {
+    const auto found = set.gone.find(it.entry.id);
+    if (found == set.gone.end()) {
+        return;
+    }
+    it.cold_sends = std::move(found->second.cold_sends);
+    if (found->second.born == it.entry.born && found->second.cold.until > now) {
+        it.cold = found->second.cold;
+    }
+    set.gone.erase(found);
+}
+
+/// Takes in what an entry, and the past of its domain, say of the endpoint's cold time.
+void take_cold_time(const endpoint_set& set, endpoint_state& it, const endpoint_entry& entry,
+                    common::time_point now, bool in_use) {
+    note_cold(it.cold, now + entry.cold_for, cold_source::entry, entry.revision, now, in_use);
+    const auto domain = set.cold_domains.find(entry.domain);
+    if (domain != set.cold_domains.end() && domain->second > it.cold.until) {
+        note_cold(it.cold, domain->second, cold_source::vacated, 0, now, in_use);
+    }
+}
+
 } // namespace
 
 endpoint_change put_endpoint(endpoint_set& set, endpoint_entry entry, common::time_point now) {
-    const cold_belief cold{now + entry.cold_for,
-                           entry.cold_for.count() > 0 ? cold_source::entry : cold_source::none, now,
-                           entry.revision};
     const auto found = set.by_id.find(entry.id);
     if (found != set.by_id.end() && is_same_endpoint(found->second->entry, entry)) {
         auto& known = *found->second;
+        const auto cold_before = known.cold.until;
+        take_cold_time(set, known, entry, now, true);
         const bool changed = known.entry.leaving != entry.leaving || known.entry.slots != entry.slots ||
                              known.entry.domain != entry.domain || known.removal_due.has_value() ||
-                             (entry.cold_for.count() > 0 && cold.until > known.cold.until);
+                             known.cold.until > cold_before;
         known.entry = std::move(entry);
         known.removal_due.reset();
-        known.cold = cold;
         return changed ? endpoint_change::updated : endpoint_change::none;
     }
     const bool replaces = found != set.by_id.end();
     if (replaces) {
+        remember(set, *found->second, now);
         drop_from_service(set, found->second);
     }
     const auto made = std::make_shared<endpoint_state>();
     made->entry = std::move(entry);
-    made->cold = cold;
+    recall(set, *made, now);
+    take_cold_time(set, *made, made->entry, now, replaces);
     set.by_id[made->entry.id] = made;
     add_to_service(set, made);
     return replaces ? endpoint_change::replaced : endpoint_change::added;
 }
 
-bool remove_endpoint(endpoint_set& set, std::string_view id) {
+bool remove_endpoint(endpoint_set& set, std::string_view id, common::time_point now) {
     const auto found = set.by_id.find(id);
     if (found == set.by_id.end()) {
         return false;
     }
+    remember(set, *found->second, now);
     drop_from_service(set, found->second);
     set.by_id.erase(found);
     return true;
 }
 
-void remove_endpoint_later(endpoint_set& set, std::string_view id, common::time_point due) {
+bool remove_endpoint_later(endpoint_set& set, std::string_view id, common::time_point due) {
     const auto found = set.by_id.find(id);
-    if (found != set.by_id.end() && !found->second->removal_due) {
+    if (found == set.by_id.end()) {
+        return false;
+    }
+    if (!found->second->removal_due) {
         found->second->removal_due = due;
     }
+    return true;
 }
 
 std::vector<std::string> expire_endpoints(endpoint_set& set, common::time_point now) {
@@ -82,8 +118,10 @@
         }
     }
     for (const auto& id : gone) {
-        remove_endpoint(set, id);
+        remove_endpoint(set, id, now);
     }
+    std::erase_if(set.gone, [&](const auto& it) { return it.second.forget_at <= now; });
+    std::erase_if(set.cold_domains, [&](const auto& it) { return it.second <= now; });
     return gone;
 }
 
@@ -94,13 +132,14 @@
         return;
     }
     const auto found = set.vacated_domains.find(domain);
-    if (found == set.vacated_domains.end()) {
-        return;
+    if (found != set.vacated_domains.end()) {
+        set.vacated_domains.erase(found);
     }
-    set.vacated_domains.erase(found);
+    const auto until = now + cold_time;
+    set.cold_domains[std::string(domain)] = until;
     for (const auto& [id, it] : set.by_id) {
         if (it->entry.domain == domain) {
-            it->cold = {std::max(it->cold.until, now + cold_time), cold_source::vacated, now, 0};
+            note_cold(it->cold, until, cold_source::vacated, 0, now, true);
         }
     }
 }
@@ -109,18 +148,6 @@
     return it.cold.until > now;
 }
 
-std::string_view source_name(cold_source source) {
-    switch (source) {
-    case cold_source::entry:
-        return "entry";
-    case cold_source::vacated:
-        return "vacated";
-    case cold_source::none:
-        break;
-    }
-    return "none";
-}
-
 bool accepts_work(const endpoint_set& set, const endpoint_state& it) {
     return !it.entry.leaving && !set.vacated_domains.contains(it.entry.domain);
 }
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cold_limit.h"
 #include "core/common/clock.h"
 #include "sliding_window.h"
 
@@ -33,19 +34,6 @@
     std::uint64_t revision{0};
 };
 
-/// Where a host has it from that an endpoint is cold.
-enum class cold_source : std::uint8_t { none, entry, vacated };
-
-/// What a host believes of an endpoint's cold time.
-struct cold_belief {
-    common::time_point until;
-    cold_source source{cold_source::none};
-    /// Moment at which this host was told.
-    common::time_point told_at;
-    /// Revision of the entry that told it; 0 for other sources.
-    std::uint64_t revision{0};
-};
-
 /// Load that an endpoint reported in an answer.
 struct load_report {
     int running{0};
@@ -71,7 +59,7 @@
     int failures_in_row{0};
     /// Preferred last until then.
     common::time_point avoided_until;
-    /// Requests of the last second while it is cold.
+    /// Requests of this host while it is cold.
     sliding_window cold_sends;
     /// The store removed its entry just after an outage; it goes for good then.
     std::optional<common::time_point> removal_due;
@@ -79,11 +67,22 @@
 
 using endpoint_ptr = std::shared_ptr<endpoint_state>;
 
+/// What outlasts the entry of an endpoint that is gone.
+struct endpoint_memory {
+    std::int64_t born{0};
+    cold_belief cold;
+    sliding_window cold_sends;
+    common::time_point forget_at;
+};
+
 /// All endpoints by id, and the failure domains that must get no work.
 struct endpoint_set {
     std::map<std::string, endpoint_ptr, std::less<>> by_id;
     std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service;
     std::set<std::string, std::less<>> vacated_domains;
+    /// Domains that were taken back, and until when their endpoints count as cold.
+    std::map<std::string, common::time_point, std::less<>> cold_domains;
+    std::map<std::string, endpoint_memory, std::less<>> gone;
 };
 
 enum class endpoint_change : std::uint8_t { none, added, updated, replaced };
@@ -92,25 +91,23 @@
 /// cold, or stays so for longer, counts as updated.
 endpoint_change put_endpoint(endpoint_set& set, endpoint_entry entry, common::time_point now);
 
-/// Removes an endpoint; false when it was not there.
-bool remove_endpoint(endpoint_set& set, std::string_view id);
+/// Removes an endpoint; false when it was not there. What was sent to it while it was cold stays in mind.
+bool remove_endpoint(endpoint_set& set, std::string_view id, common::time_point now);
 
-/// Removes the endpoint at `due` unless it registers again before.
-void remove_endpoint_later(endpoint_set& set, std::string_view id, common::time_point due);
+/// Removes the endpoint at `due` unless it registers again before; false when it was not there.
+bool remove_endpoint_later(endpoint_set& set, std::string_view id, common::time_point due);
 
 /// Removes what is due and returns the ids.
 std::vector<std::string> expire_endpoints(endpoint_set& set, common::time_point now);
 
-/// Marks a domain as vacated, or takes it back; endpoints taken back count as cold for `cold_time`.
+/// Marks a domain as vacated, or takes it back; endpoints taken back count as cold for `cold_time`, also when
+/// this host has not heard that they were to get no work.
 void set_vacated(endpoint_set& set, std::string_view domain, bool vacated, common::time_point now,
                  common::milliseconds cold_time);
 
 /// Whether the endpoint is cold, as far as this host knows.
 bool is_cold(const endpoint_state& it, common::time_point now);
 
-/// Name of a source, for logs.
-std::string_view source_name(cold_source source);
-
 /// Whether new work may go to the endpoint, apart from its load.
 bool accepts_work(const endpoint_set& set, const endpoint_state& it);
 
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-// Hosts that may use one cold endpoint; more would leave each less than one request a second.
-constexpr std::size_t cold_hosts = 2;
-// Part of the cold limit that is used: hosts may differ for a moment on who the few are.
-constexpr double cold_use = 0.6;
 // Endpoints that serve one object. More would leave each of them cold for most objects.
 constexpr std::size_t warm_ranks = 2;
 // Load up to which a warm endpoint takes more than it has slots: a short wait there is better than cold work,
@@ -21,7 +17,6 @@
 constexpr double crowded = 1.4;
 // Load up to which an endpoint that is not warm for the object counts as free.
 constexpr double spare = 0.75;
-constexpr common::milliseconds one_second{1000};
 // An endpoint that answers nothing for so many times the latency that callers expect may have gone dark: on a
 // kept connection nothing but silence shows it. Cold work takes up to twice as long as callers expect.
 constexpr int silence_factor = 3;
@@ -44,11 +39,6 @@
            !contains(wanted.tried, it.entry.id);
 }
 
-double cold_share(const placement_request& wanted) {
-    const auto sharers = std::min(cold_hosts, std::max<std::size_t>(wanted.hosts.size(), 1));
-    return std::max(1.0, wanted.cold_limit * cold_use / static_cast<double>(sharers));
-}
-
 std::uint64_t rank_of(const endpoint_state& it, const placement_request& wanted) {
     if (wanted.object.empty()) {
         return 0;
@@ -119,20 +109,11 @@
 
 } // namespace
 
-bool may_use_cold(const placement_request& wanted, std::string_view endpoint_id) {
-    const auto seed = common::stable_hash(endpoint_id);
-    const auto own = common::stable_hash(wanted.host, seed);
-    const auto before = std::count_if(wanted.hosts.begin(), wanted.hosts.end(), [&](const std::string& it) {
-        return it != wanted.host && common::stable_hash(it, seed) > own;
-    });
-    return static_cast<std::size_t>(before) < cold_hosts;
-}
-
 double cold_room(endpoint_state& it, const placement_request& wanted, common::time_point now) {
-    if (!may_use_cold(wanted, it.entry.id)) {
+    if (now < it.cold.usable_from || !has_cold_share(wanted.knowledge, it.entry.id, wanted.cold_limit, now)) {
         return 0;
     }
-    return cold_share(wanted) - static_cast<double>(count_in(it.cold_sends, now, one_second));
+    return cold_share(wanted.cold_limit) - static_cast<double>(count_in(it.cold_sends, now, cold_window));
 }
 
 endpoint_ptr place_request(endpoint_set& set, const placement_request& wanted, common::time_point now) {
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -19,9 +19,8 @@
     std::span<const std::string> regions;
     /// Endpoints that have been tried.
     std::span<const std::string> tried;
-    /// Members of the fleet by name, for the choice of the few hosts that may use a cold endpoint.
-    std::span<const std::string> hosts;
-    std::string_view host;
+    /// What this host knows of the fleet, for its share of cold endpoints.
+    fleet_knowledge knowledge;
     /// Time within which an answer is expected; zero when the route states none.
     common::milliseconds target_latency{0};
     /// Requests of one second that a cold endpoint may get from the whole fleet.
@@ -33,11 +32,8 @@
 /// cold endpoint.
 endpoint_ptr place_request(endpoint_set& set, const placement_request& wanted, common::time_point now);
 
-/// Requests that this host may still send to a cold endpoint in the second that ends now; 0 when it is not
-/// one of the few that may.
+/// Requests that this host may still send to a cold endpoint in the window that ends now; 0 when it has no
+/// share of its limit.
 double cold_room(endpoint_state& it, const placement_request& wanted, common::time_point now);
 
-/// Whether this host is one of the few that may send to a cold endpoint; all hosts agree on them.
-bool may_use_cold(const placement_request& wanted, std::string_view endpoint_id);
-
 } // namespace lycheegap::traffic
--- a/source/unit_tests/traffic/endpoint_set_test.cpp
+++ b/source/unit_tests/traffic/endpoint_set_test.cpp
@@ -69,9 +69,15 @@
     auto cold = entry("a");
     cold.cold_for = milliseconds(3000);
     put_endpoint(set, cold, start);
-    remove_endpoint(set, "a");
+    set.by_id["a"]->cold_sends.moments.push_back(start);
+    remove_endpoint(set, "a", start);
     put_endpoint(set, entry("a"), start + milliseconds(500));
     CHECK(is_cold(*set.by_id["a"], start + milliseconds(600)));
+    CHECK(set.by_id["a"]->cold_sends.moments.size() == 1);
+    // Another start is as cold as it says; what was sent to the id counts all the same.
+    CHECK(put_endpoint(set, entry("a", 2), start + milliseconds(700)) == endpoint_change::replaced);
+    CHECK_FALSE(is_cold(*set.by_id["a"], start + milliseconds(800)));
+    CHECK(set.by_id["a"]->cold_sends.moments.size() == 1);
 }
 
 TEST_CASE("an entry that lapsed while the store was away is back in time or goes") {
