Tell of a key that came and went between two reads

Cause: the mirror told no news of the removal of a key that it had not seen. Now it does; what takes the news is idempotent.

--- a/source/core/gateway/state_mirror.cpp
+++ b/source/core/gateway/state_mirror.cpp
@@ -30,9 +30,8 @@
     }
     item.news_revision = item.revision;
     mirror.news_revision = std::max(mirror.news_revision, item.revision);
-    if (!item.removed || was_there) {
-        news.push_back(item);
-    }
+    // Also the removal of a key that this host has not seen: it came and went between two reads.
+    news.push_back(item);
     mirror.items[item.key] = std::move(item);
 }
 
