Send to a cold endpoint within 250 ms of the placement or not at all

Cause, of the same flood: a request counts where it arrives, the share was kept where it is placed. Between the two lie a connect of up to 450 ms and any freeze of the host; what was placed in one second then arrived beside the share of a later one. Evidence: the frozen hosts of cold_limit_search_test.

--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -33,6 +33,7 @@
 
 /// What a host went by when it placed an attempt, for its log.
 struct placement_basis {
+    common::time_point placed_at;
     bool is_cold{false};
     traffic::cold_belief cold;
     /// Requests that the host may still send to the endpoint in this second, when it is cold.
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -85,13 +85,17 @@
 }
 
 std::shared_ptr<exchange_request> make_request(const gateway_state& state, const call& it,
-                                               const admitted_call& admitted,
-                                               const traffic::endpoint_entry& entry, common::time_point due) {
+                                               const admitted_call& admitted, const placed_call& placed,
+                                               common::time_point due) {
+    const auto& entry = placed.entry;
     const auto now = monotonic::now();
     const auto& names = state.options.headers;
     auto made = std::make_shared<exchange_request>();
     made->deadline = due;
     made->connect_deadline = now + connect_time;
+    if (placed.basis.is_cold) {
+        made->send_deadline = placed.basis.placed_at + traffic::cold_sending_time;
+    }
     made->id_header = names.request_id;
     const auto left = std::chrono::duration_cast<milliseconds>(admitted.answer_due - now);
     made->message =
@@ -179,7 +183,7 @@
     const auto& endpoint = placed.endpoint;
     const auto connection = connection_for(state, entry, admitted.route->idempotent);
     const bool kept = connection->connected;
-    std::shared_ptr<const exchange_request> request = make_request(state, *it, admitted, entry, due);
+    std::shared_ptr<const exchange_request> request = make_request(state, *it, admitted, placed, due);
     {
         const std::lock_guard guard(state.endpoints.mutex);
         traffic::note_sent(*endpoint, monotonic::now());
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -167,6 +167,10 @@
             co_return ended(end, std::move(reason));
         }
     }
+    if (request->send_deadline && common::monotonic::now() > *request->send_deadline) {
+        close(*connection);
+        co_return ended(exchange_end::not_sent, "too late to be sent");
+    }
     connection->stream.expires_at(request->deadline);
     const auto write = std::make_shared<running_write>();
     if (request->message.body().size() > inline_body) {
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -55,6 +55,8 @@
     request_message message;
     common::time_point deadline;
     common::time_point connect_deadline;
+    /// The request leaves by then or not at all; empty where it may leave at any time.
+    std::optional<common::time_point> send_deadline;
     /// Header that the other side repeats in its answer; empty when it repeats none.
     std::string id_header;
     /// Largest body that is taken.
