Divide second sendings and teams' rates by all hosts that may still act, and give a non-member nothing

The same cause as the flooded cold endpoint, found where it was looked for: each host divided the slack of second sendings, and its own part of a team's rate, by the hosts that it saw.

Gateway tests run on a host that is a member.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -63,7 +63,7 @@
 
 traffic::retry_limit retry_limit_of(gateway_state& state) {
     auto limit = state.options.retries;
-    limit.hosts = std::max<std::size_t>(current_fleet(state)->names.size(), 1);
+    limit.hosts = traffic::sharing_hosts(*current_fleet(state));
     return limit;
 }
 
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -52,7 +52,7 @@
         return {0, unknown_pause};
     }
     const auto lent =
-        traffic::lent_limit(traffic::fleet_limit(*from, state.options.rates), fleet->names.size());
+        traffic::lent_limit(traffic::fleet_limit(*from, state.options.rates), traffic::sharing_hosts(*fleet));
     const auto now = monotonic::now();
     const std::lock_guard guard(state.rates.mutex);
     auto& home = state.rates.homes[std::string(team)];
@@ -124,9 +124,14 @@
 /// This host's own part of the team's limit.
 traffic::rate_limit own_part(gateway_state& state, const traffic::team& from) {
     const auto fleet = current_fleet(state);
+    const auto hosts = traffic::sharing_hosts(*fleet);
+    if (hosts == 0) {
+        return {};
+    }
+    // Hosts that left lately may still use theirs.
     const double part =
-        fleet->own_part > 0 ? fleet->own_part : 1.0 / static_cast<double>(fleet->names.size() + 1);
-    return traffic::own_limit(traffic::fleet_limit(from, state.options.rates), part, fleet->names.size());
+        fleet->own_part * static_cast<double>(fleet->names.size()) / static_cast<double>(hosts);
+    return traffic::own_limit(traffic::fleet_limit(from, state.options.rates), part, hosts);
 }
 
 } // namespace
--- a/source/core/traffic/retry_share.cpp
+++ b/source/core/traffic/retry_share.cpp
@@ -12,7 +12,7 @@
 
 double repeats_allowed(retry_share& share, const retry_limit& limit, common::time_point now) {
     const auto requests = static_cast<double>(count_in(share.requests, now, limit.window));
-    const auto slack = limit.slack / static_cast<double>(std::max<std::size_t>(limit.hosts, 1));
+    const auto slack = limit.hosts > 0 ? limit.slack / static_cast<double>(limit.hosts) : 0;
     return (requests * limit.ratio + slack) * limit_use;
 }
 
--- a/source/core/traffic/retry_share.h
+++ b/source/core/traffic/retry_share.h
@@ -11,6 +11,7 @@
     /// Second sendings of the whole fleet in a window, beside the ratio.
     double slack{0};
     common::milliseconds window{10000};
+    /// 0: this host has no part of the slack.
     std::size_t hosts{1};
 };
 
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -65,10 +65,13 @@
 }
 
 struct test_host {
-    std::unique_ptr<running_gateway> running{start_gateway(test_options())};
+    std::unique_ptr<running_gateway> running;
 
-    test_host() {
+    explicit test_host(const gateway_options& options = test_options()) : running(start_gateway(options)) {
         apply_configuration(*running->state, test_configuration());
+        traffic::fleet_member own;
+        own.name = options.host;
+        apply_member(*running->state, own);
     }
 
     test_host(const test_host&) = delete;
