Count the age of what the store confirmed also while the machine is suspended

What callers could see: a host that was suspended woke up with knowledge that looked as fresh as before, and lent tokens or used its share of cold endpoints in that second beside those who had taken over. An answer that waited in the socket while the machine was suspended counts as that much older. Not proved by a run: a test cannot suspend its machine.

--- a/source/core/common/clock.h
+++ b/source/core/common/clock.h
@@ -11,6 +11,23 @@
 using time_point = monotonic::time_point;
 using std::chrono::milliseconds;
 
+/// Monotonic time that goes on while the machine is suspended: what others allow for a time runs out
+/// meanwhile.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+/// Whole milliseconds from `from` to `to`, negative when `to` is past.
+inline std::int64_t milliseconds_between(boot_clock::time_point from, boot_clock::time_point to) {
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
 /// Whole milliseconds from `from` to `to`, negative when `to` is past.
 inline std::int64_t milliseconds_between(time_point from, time_point to) {
     return std::chrono::duration_cast<milliseconds>(to - from).count();
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -127,7 +127,7 @@
     if (!endpoint) {
         return std::nullopt;
     }
-    basis.placed_at = now;
+    basis.placed_at = common::boot_clock::now();
     basis.is_cold = traffic::is_cold(*endpoint, now);
     basis.cold = endpoint->cold;
     basis.cold_room = basis.is_cold ? traffic::cold_room(*endpoint, wanted, now) : 0;
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -33,14 +33,14 @@
 
 /// What a host went by when it placed an attempt, for its log.
 struct placement_basis {
-    common::time_point placed_at;
+    common::boot_clock::time_point placed_at;
     bool is_cold{false};
     traffic::cold_belief cold;
     /// Requests that the host may still send to the endpoint in this second, when it is cold.
     double cold_room{0};
     /// Hosts of the fleet, and the moment at which the store confirmed them.
     std::size_t hosts{0};
-    common::time_point hosts_confirmed_at;
+    common::boot_clock::time_point hosts_confirmed_at;
 };
 
 /// An endpoint for one attempt. The entry is a copy: the shared one changes under the lock of its table.
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -160,7 +160,8 @@
          field("cold_told_ms", told ? common::milliseconds_between(basis.cold.told_at, now) : -1),
          field("revision", basis.cold.revision), field("cold_room", basis.cold_room),
          field("hosts", basis.hosts),
-         field("hosts_age_ms", common::milliseconds_between(basis.hosts_confirmed_at, now))});
+         field("hosts_age_ms",
+               common::milliseconds_between(basis.hosts_confirmed_at, common::boot_clock::now()))});
 }
 
 void log_attempt(gateway_state& state, const call& it, const traffic::endpoint_entry& entry,
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -167,7 +167,7 @@
             co_return ended(end, std::move(reason));
         }
     }
-    if (request->send_deadline && common::monotonic::now() > *request->send_deadline) {
+    if (request->send_deadline && common::boot_clock::now() > *request->send_deadline) {
         close(*connection);
         co_return ended(exchange_end::not_sent, "too late to be sent");
     }
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -56,7 +56,7 @@
     common::time_point deadline;
     common::time_point connect_deadline;
     /// The request leaves by then or not at all; empty where it may leave at any time.
-    std::optional<common::time_point> send_deadline;
+    std::optional<common::boot_clock::time_point> send_deadline;
     /// Header that the other side repeats in its answer; empty when it repeats none.
     std::string id_header;
     /// Largest body that is taken.
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -56,13 +56,14 @@
     return state.fleet.view;
 }
 
-common::time_point confirmed_at(gateway_state& state) {
+common::boot_clock::time_point confirmed_at(gateway_state& state) {
     const std::lock_guard guard(state.mirror.mutex);
     return state.mirror.mirror.confirmed_at;
 }
 
 traffic::fleet_knowledge fleet_knowledge_of(gateway_state& state, const fleet_view& fleet) {
-    return {state.options.host, &fleet, confirmed_at(state) + traffic::membership_validity};
+    const auto valid_for = confirmed_at(state) + traffic::membership_validity - common::boot_clock::now();
+    return {state.options.host, &fleet, monotonic::now() + valid_for};
 }
 
 bool is_ready(gateway_state& state) {
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -148,7 +148,7 @@
 traffic::fleet_knowledge fleet_knowledge_of(gateway_state& state, const fleet_view& fleet);
 
 /// Moment at which the store confirmed last what this host knows of it.
-common::time_point confirmed_at(gateway_state& state);
+common::boot_clock::time_point confirmed_at(gateway_state& state);
 
 /// Whether callers may be sent here: configuration and endpoints are known and no stop has begun.
 bool is_ready(gateway_state& state);
--- a/source/core/gateway/state_mirror.cpp
+++ b/source/core/gateway/state_mirror.cpp
@@ -98,8 +98,9 @@
     for (const auto& it : changes.items) {
         answer.items.push_back(to_record(it));
     }
-    answer.age = static_cast<int>(std::min<std::int64_t>(
-        common::milliseconds_between(mirror.confirmed_at, now), std::numeric_limits<int>::max()));
+    answer.age = static_cast<int>(
+        std::min<std::int64_t>(common::milliseconds_between(mirror.confirmed_at, common::boot_clock::now()),
+                               std::numeric_limits<int>::max()));
     if (mirror.back_at) {
         answer.back_age = static_cast<int>(std::min<std::int64_t>(
             common::milliseconds_between(*mirror.back_at, now), std::numeric_limits<int>::max()));
@@ -201,7 +202,8 @@
     send_all(std::move(ready));
 }
 
-std::optional<mirror_update> read_mirror_answer(schema::byte_view message, common::time_point asked_at,
+std::optional<mirror_update> read_mirror_answer(schema::byte_view message,
+                                                common::boot_clock::time_point asked_at,
                                                 std::string_view peer) {
     const auto read = schema::decode<schema::peer_message>(message, peer);
     const auto* answer = read ? read->body.Asmirror_answer() : nullptr;
@@ -214,7 +216,8 @@
     // Counted from the question: the answer may have been on its way for long.
     update.confirmed_at = asked_at - milliseconds{std::max(answer->age, 0)};
     if (answer->back_age >= 0) {
-        update.back_at = asked_at - milliseconds{answer->back_age};
+        const auto back_for = common::boot_clock::now() - asked_at + milliseconds{answer->back_age};
+        update.back_at = monotonic::now() - back_for;
     }
     for (const auto& it : answer->items) {
         if (it) {
--- a/source/core/gateway/state_mirror.h
+++ b/source/core/gateway/state_mirror.h
@@ -35,7 +35,7 @@
     /// Items that are missing are gone.
     bool whole{false};
     /// Moment at which the store confirmed this.
-    common::time_point confirmed_at;
+    common::boot_clock::time_point confirmed_at;
     /// Moment at which the store answered again after an outage.
     std::optional<common::time_point> back_at;
 };
@@ -51,7 +51,7 @@
     /// Removals before this revision may have been missed.
     std::uint64_t removals_known_from{0};
     bool complete{false};
-    common::time_point confirmed_at;
+    common::boot_clock::time_point confirmed_at;
     std::optional<common::time_point> back_at;
 };
 
@@ -87,7 +87,7 @@
 void expire_waiters(mirror_table& table);
 
 /// Reads an answer to a question that was asked at `asked_at`; empty when it is none.
-std::optional<mirror_update> read_mirror_answer(schema::byte_view message, common::time_point asked_at,
-                                                std::string_view peer);
+std::optional<mirror_update>
+read_mirror_answer(schema::byte_view message, common::boot_clock::time_point asked_at, std::string_view peer);
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -21,9 +21,6 @@
 constexpr milliseconds silent_home_pause{1500};
 // A request that no home could be asked for comes back after this time.
 constexpr milliseconds unknown_pause{400};
-// Beyond this age of what the store confirmed, another host may have become the home: its entry lapses at the
-// earliest after two thirds of its lease, and the next home waits on top of that.
-constexpr milliseconds home_knowledge{3000};
 constexpr double tokens_at_once = 100;
 
 const traffic::team* find_team_by_name(const traffic::configuration& config, std::string_view name) {
@@ -32,8 +29,10 @@
     return found == config.teams.end() ? nullptr : &*found;
 }
 
+/// Later another host may have become the home: this one's entry lapses at the earliest after two thirds of
+/// its lease, and the next home waits on top of that.
 bool knows_members(gateway_state& state) {
-    return monotonic::now() - confirmed_at(state) <= home_knowledge;
+    return common::boot_clock::now() - confirmed_at(state) <= traffic::membership_validity;
 }
 
 using traffic::token_loan;
--- a/source/unit_tests/gateway/state_mirror_test.cpp
+++ b/source/unit_tests/gateway/state_mirror_test.cpp
@@ -13,7 +13,7 @@
     made.revision = revision;
     made.items = std::move(items);
     made.whole = whole;
-    made.confirmed_at = common::monotonic::now();
+    made.confirmed_at = common::boot_clock::now();
     return made;
 }
 
@@ -70,7 +70,7 @@
     mirror_table table;
     publish_update(table, update(2, {{"a", "1", 1, 0, false}}, true));
     std::optional<mirror_update> answer;
-    const auto asked_at = common::monotonic::now();
+    const auto asked_at = common::boot_clock::now();
     const auto keep = [&](const schema::bytes& message) {
         answer = read_mirror_answer(message, asked_at, "peer");
     };
@@ -81,7 +81,7 @@
     CHECK(answer->revision == 3);
     REQUIRE(answer->items.size() == 1);
     CHECK(answer->items[0].value == "2");
-    CHECK(common::monotonic::now() - answer->confirmed_at < milliseconds(5000));
+    CHECK(common::boot_clock::now() - answer->confirmed_at < milliseconds(5000));
     answer.reset();
     ask_mirror(table, 3, milliseconds(0), keep);
     CHECK(answer);
@@ -95,7 +95,7 @@
     publish_update(table, update(2, {{"a", "up", 1, 0, false}, {"b", "up", 2, 0, false}}, true));
     std::optional<mirror_update> answer;
     const auto keep = [&](const schema::bytes& message) {
-        answer = read_mirror_answer(message, common::monotonic::now(), "peer");
+        answer = read_mirror_answer(message, common::boot_clock::now(), "peer");
     };
     ask_mirror(table, 2, milliseconds(10000), keep);
     CHECK(publish_update(table, update(4, {{"a", "up", 3, 0, false}, {"b", "up", 4, 0, false}})).empty());
--- a/source/unit_tests/gateway/team_rates_test.cpp
+++ b/source/unit_tests/gateway/team_rates_test.cpp
@@ -34,7 +34,7 @@
     auto state = std::make_unique<gateway_state>(options);
     apply_configuration(*state, configuration_with_rate());
     apply_member(*state, member_named("host-1"));
-    state->mirror.mirror.confirmed_at = common::monotonic::now() + milliseconds(60'000);
+    state->mirror.mirror.confirmed_at = common::boot_clock::now() + milliseconds(60'000);
     return state;
 }
 
@@ -67,9 +67,9 @@
     const auto state = lonely_home();
     follow_homes(*state);
     wait_out_former_home();
-    state->mirror.mirror.confirmed_at = common::monotonic::now() - milliseconds(60'000);
+    state->mirror.mirror.confirmed_at = common::boot_clock::now() - milliseconds(60'000);
     CHECK(lent_to_first_question(*state) == 0);
-    state->mirror.mirror.confirmed_at = common::monotonic::now() + milliseconds(60'000);
+    state->mirror.mirror.confirmed_at = common::boot_clock::now() + milliseconds(60'000);
     for (int n = 2; n < 40; ++n) {
         apply_member(*state, member_named("host-" + std::to_string(n)));
     }
