Take a domain for cold when many of its endpoints turn cold together

Cause: an endpoint tells of its cold time only by its entry. Ruled out: hosts that forget (the entries were never there), the relays (all hosts learn at the same time); by reckoning, asking each endpoint for its health (it costs each of them work all the time, and comes too late too: at 24 requests a second the bound is passed after 0.6 s). Now: when at least a quarter of a domain's endpoints, and two, turn cold within a second, all endpoints of it count as cold for as long. It answers what happens to a domain as a whole; an endpoint that turns cold alone and whose write is late is still not known. Evidence: "a domain whose endpoints turn cold together is cold, also where the entries are late" (a new rule; the former code has none).

--- a/source/core/traffic/cold_limit.cpp
+++ b/source/core/traffic/cold_limit.cpp
@@ -71,6 +71,8 @@
         return "entry";
     case cold_source::vacated:
         return "vacated";
+    case cold_source::domain:
+        return "domain";
     case cold_source::none:
         break;
     }
--- a/source/core/traffic/cold_limit.h
+++ b/source/core/traffic/cold_limit.h
@@ -14,7 +14,14 @@
 // messages: all hosts name the same ones, and one that may not know the fleet as it is has no share.
 
 /// Where a host has it from that an endpoint is cold.
-enum class cold_source : std::uint8_t { none, entry, vacated };
+enum class cold_source : std::uint8_t {
+    none,
+    entry,
+    /// Its domain was vacated and taken back.
+    vacated,
+    /// Others of its domain turned cold together.
+    domain,
+};
 
 /// What a host believes of an endpoint's cold time.
 struct cold_belief {
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -16,6 +16,11 @@
 constexpr common::milliseconds longest_avoidance{4000};
 // Entries that lapse for a while return within a few seconds.
 constexpr common::milliseconds memory_time{10'000};
+// When this part of a domain's endpoints turn cold within a moment, something has happened to the domain, and
+// the entries of its other endpoints are late.
+constexpr double turned_cold_part = 0.25;
+constexpr std::size_t least_turned_cold = 2;
+constexpr common::milliseconds turned_cold_time{1000};
 
 void add_to_service(endpoint_set& set, const endpoint_ptr& it) {
     set.by_service[it->entry.service].push_back(it);
@@ -49,6 +54,39 @@
     set.gone.erase(found);
 }
 
+std::size_t size_of_domain(const endpoint_set& set, std::string_view domain) {
+    const auto in_domain = [&](const auto& it) { return it.second->entry.domain == domain; };
+    return static_cast<std::size_t>(std::count_if(set.by_id.begin(), set.by_id.end(), in_domain));
+}
+
+/// Counts all endpoints of a domain as cold.
+void note_cold_domain(endpoint_set& set, std::string_view domain, common::time_point until,
+                      cold_source source, common::time_point now) {
+    auto& known = set.cold_domains[std::string(domain)];
+    known = std::max(known, until);
+    for (const auto& [id, it] : set.by_id) {
+        if (it->entry.domain == domain && it->cold.until < until) {
+            note_cold(it->cold, until, source, 0, now, true);
+        }
+    }
+}
+
+/// Notes that an endpoint in use has turned cold, and concludes on its domain when many do.
+void note_turned_cold(endpoint_set& set, const endpoint_state& it, common::time_point now) {
+    const auto& domain = it.entry.domain;
+    const auto known = set.cold_domains.find(domain);
+    if (known != set.cold_domains.end() && known->second >= it.cold.until) {
+        return;
+    }
+    auto& turned = set.turned_cold[domain];
+    turned.moments.push_back(now);
+    const auto count = count_in(turned, now, turned_cold_time);
+    const auto part = turned_cold_part * static_cast<double>(size_of_domain(set, domain));
+    if (count >= least_turned_cold && static_cast<double>(count) >= part) {
+        note_cold_domain(set, domain, it.cold.until, cold_source::domain, now);
+    }
+}
+
 /// Takes in what an entry, and the past of its domain, say of the endpoint's cold time.
 void take_cold_time(const endpoint_set& set, endpoint_state& it, const endpoint_entry& entry,
                     common::time_point now, bool in_use) {
@@ -72,6 +110,9 @@
                              known.cold.until > cold_before;
         known.entry = std::move(entry);
         known.removal_due.reset();
+        if (cold_before <= now && known.cold.until > now) {
+            note_turned_cold(set, known, now);
+        }
         return changed ? endpoint_change::updated : endpoint_change::none;
     }
     const bool replaces = found != set.by_id.end();
@@ -135,13 +176,7 @@
     if (found != set.vacated_domains.end()) {
         set.vacated_domains.erase(found);
     }
-    const auto until = now + cold_time;
-    set.cold_domains[std::string(domain)] = until;
-    for (const auto& [id, it] : set.by_id) {
-        if (it->entry.domain == domain) {
-            note_cold(it->cold, until, cold_source::vacated, 0, now, true);
-        }
-    }
+    note_cold_domain(set, domain, now + cold_time, cold_source::vacated, now);
 }
 
 bool is_cold(const endpoint_state& it, common::time_point now) {
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -83,6 +83,8 @@
     /// Domains that were taken back, and until when their endpoints count as cold.
     std::map<std::string, common::time_point, std::less<>> cold_domains;
     std::map<std::string, endpoint_memory, std::less<>> gone;
+    /// By domain, when endpoints in use turned cold.
+    std::map<std::string, sliding_window, std::less<>> turned_cold;
 };
 
 enum class endpoint_change : std::uint8_t { none, added, updated, replaced };
--- a/source/unit_tests/traffic/endpoint_set_test.cpp
+++ b/source/unit_tests/traffic/endpoint_set_test.cpp
@@ -80,6 +80,33 @@
     CHECK(set.by_id["a"]->cold_sends.moments.size() == 1);
 }
 
+TEST_CASE("a domain whose endpoints turn cold together is cold, also where the entries are late") {
+    endpoint_set set;
+    for (int n = 0; n < 8; ++n) {
+        put_endpoint(set, entry("n" + std::to_string(n)), start);
+        auto other = entry("s" + std::to_string(n));
+        other.domain = "south";
+        put_endpoint(set, other, start);
+    }
+    const auto turn = [&](const std::string& id, common::time_point now) {
+        auto cold = set.by_id[id]->entry;
+        cold.cold_for = milliseconds(3000);
+        put_endpoint(set, cold, now);
+    };
+    const auto is_cold_at = [&](const std::string& id, int ms) {
+        return is_cold(*set.by_id[id], start + milliseconds(ms));
+    };
+    // One alone, or two at different times, say nothing of the others.
+    turn("n0", start + milliseconds(1000));
+    turn("n1", start + milliseconds(2500));
+    CHECK_FALSE(is_cold_at("n7", 2500));
+    turn("n2", start + milliseconds(2600));
+    CHECK(is_cold_at("n7", 2600));
+    CHECK(set.by_id["n7"]->cold.source == cold_source::domain);
+    CHECK_FALSE(is_cold_at("n7", 5600));
+    CHECK_FALSE(is_cold_at("s0", 2600));
+}
+
 TEST_CASE("an entry that lapsed while the store was away is back in time or goes") {
     endpoint_set set;
     put_endpoint(set, entry("back"), start);
