--- a/source/unit_tests/platform/decode_test.cpp
+++ b/source/unit_tests/platform/decode_test.cpp
@@ -65,6 +65,68 @@
     }
 }
 
+TEST_CASE("odd entries of any key end nothing and name nothing to use") {
+    const std::string deep = std::string(400'000, '[') + std::string(400'000, ']');
+    const std::string open = std::string(400'000, '[');
+    std::string nested;
+    for (int n = 0; n < 100'000; ++n) {
+        nested += "{\"info\":";
+    }
+    for (const auto& text : {deep, open, nested + "1" + std::string(100'000, '}')}) {
+        CHECK_FALSE(decode_endpoint("i-1", text, regions));
+        CHECK_FALSE(decode_member(text));
+        CHECK_FALSE(decode_configuration(text));
+        CHECK_FALSE(decode_page(text));
+        CHECK_FALSE(decode_number(text, "lease"));
+    }
+    const auto entry = [](const std::string& address, const std::string& capacity, const std::string& cold) {
+        return R"({"address":")" + address +
+               R"(","born":5,"info":{"service":"s","version":"v1","zone":"north",)" + R"("capacity":)" +
+               capacity + R"(},"status":{"state":"ready","sequence":4)" + cold + "}}";
+    };
+    const std::string warm = R"(,"cold_remaining_s":0)";
+    CHECK(decode_endpoint("i-1", entry("10.0.0.1:80", "6", warm), regions));
+    for (const auto* address :
+         {"10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:99999999999999999999",
+          "10.0.0.1:", "10.0.0.1", ":80", "10.0.0.256:80", "10.0.0.1:80x"}) {
+        CAPTURE(address);
+        CHECK_FALSE(decode_endpoint("i-1", entry(address, "6", warm), regions));
+        CHECK_FALSE(decode_member(R"({"name":"h","requests":")" + std::string(address) +
+                                  R"(","peers":"10.0.0.1:7560","capacity":1})"));
+        CHECK_FALSE(decode_member(R"({"name":"h","requests":"10.0.0.1:80","peers":")" + std::string(address) +
+                                  R"(","capacity":1})"));
+    }
+    for (const auto* capacity : {"9223372036854775808", "18446744073709551615", "1e400", "1e30", "-1", "0",
+                                 "6.5", "99999999999999999999999999"}) {
+        CAPTURE(capacity);
+        CHECK_FALSE(decode_endpoint("i-1", entry("10.0.0.1:80", capacity, warm), regions));
+    }
+    for (const auto* cold : {"", R"(,"cold_remaining_s":"3")", R"(,"cold_remaining_s":1e300)",
+                             R"(,"cold_remaining_s":-1)", R"(,"cold_remaining_s":null)"}) {
+        CAPTURE(cold);
+        CHECK_FALSE(decode_endpoint("i-1", entry("10.0.0.1:80", "6", cold), regions));
+    }
+    for (const auto* capacity : {"1e300", "-1", "1e400"}) {
+        CAPTURE(capacity);
+        const auto member =
+            decode_member(R"({"name":"h","requests":"10.0.0.1:80","peers":"10.0.0.1:7560","capacity":)" +
+                          std::string(capacity) + "}");
+        // A figure that cannot be read leaves the usual one.
+        CHECK((!member || member->capacity == 1));
+    }
+    const auto config = decode_configuration(
+        R"({"version":7,"resources":[{"resource_kind":"routes","metadata":{"name":"r"},"spec":{"prefix":"/a/",)"
+        R"("kind":"safe","timeout_s":1e300,"max_attempts":4294967296,"priority":9999999999,"traffic_split":)"
+        R"([{"service":"s","weight":1e308},{"service":"t","weight":1}]}},{"resource_kind":"limits","metadata":{},)"
+        R"("spec":{"max_header_bytes":-1,"max_body_bytes":-1}}]})");
+    REQUIRE(config);
+    REQUIRE(config->routes.size() == 1);
+    CHECK(config->routes[0].attempt_limit == 1);
+    CHECK(config->routes[0].parts.size() == 1);
+    CHECK(config->limits.head_bytes == traffic::caller_limits{}.head_bytes);
+    CHECK(config->limits.body_bytes == traffic::caller_limits{}.body_bytes);
+}
+
 TEST_CASE("pages of the store carry items, removals and the revision to go on from") {
     const auto page = decode_page(
         R"({"events":[{"key":"a","value":"aGk=","revision":3,"lease":9},{"key":"b","revision":4,"tombstone":true}],"at_rev":4})");
