Take no failure without an id for the answer to a later request of its connection

Report of another operator: an earlier refusal, written once more on a kept connection, was taken for the answer to a request that ran. It happened here when the refusal bears no request id: the caller was told "not run", and the request went to a second endpoint ("an earlier refusal written once more on a kept connection refuses no later request": 503 for a booking that ran, and it reached two endpoints). With another request's id it was read past already. Now a failure without an id counts only as the answer to the first request of a connection; later the outcome is unknown, and work that must not be repeated ends with 502.

--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -92,17 +92,27 @@
     write->done = true;
 }
 
-bool answers_request(const exchange_request& request, const response_message& answer) {
+/// Whose answer came.
+enum class answer_owner : std::uint8_t { this_request, other_request, unknown };
+
+answer_owner owner_of(const endpoint_connection& connection, const exchange_request& request,
+                      const http::response_header<>& answer) {
     if (request.id_header.empty()) {
-        return true;
+        return answer_owner::this_request;
     }
     const auto echoed = answer.find(request.id_header);
     const auto sent = request.message.find(request.id_header);
-    if (echoed == answer.end()) {
-        // Without an id nothing tells whose answer it is; a success must be certain.
-        return answer.result_int() >= 400;
+    if (echoed != answer.end()) {
+        const bool same = sent != request.message.end() && echoed->value() == sent->value();
+        return same ? answer_owner::this_request : answer_owner::other_request;
+    }
+    if (answer.result_int() < 400) {
+        // A success must be certain.
+        return answer_owner::other_request;
     }
-    return sent != request.message.end() && echoed->value() == sent->value();
+    // A failure without an id can only belong to the first request of a connection; later it may be an
+    // earlier refusal that was written once more.
+    return connection.requests_sent == 1 ? answer_owner::this_request : answer_owner::unknown;
 }
 
 common::time_point idle_limit(const response_message& answer) {
@@ -135,7 +145,11 @@
         if (answer.result_int() < 200) {
             continue;
         }
-        if (!answers_request(request, answer)) {
+        const auto owner = owner_of(*connection, request, answer);
+        if (owner == answer_owner::unknown) {
+            co_return ended(exchange_end::lost, "a failure without an id, maybe of an earlier request");
+        }
+        if (owner == answer_owner::other_request) {
             strays = true;
             continue;
         }
@@ -172,6 +186,7 @@
         co_return ended(exchange_end::not_sent, "too late to be sent");
     }
     connection->stream.expires_at(request->deadline);
+    ++connection->requests_sent;
     const auto write = std::make_shared<running_write>();
     if (request->message.body().size() > inline_body) {
         net::co_spawn(connection->strand, write_request(connection, request, write), net::detached);
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -41,6 +41,8 @@
     beast::flat_buffer input;
     std::string peer;
     bool connected{false};
+    /// Requests that were sent on it.
+    int requests_sent{0};
     /// Answers have come in order and whole, so the next request may use the connection.
     bool reusable{false};
     /// The other side drops it after this time.
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -257,6 +257,26 @@
     CHECK(extra.connections == 3);
 }
 
+TEST_CASE("an earlier refusal written once more on a kept connection refuses no later request") {
+    for (const std::string earlier_id : {"x-id: q0\r\n", ""}) {
+        CAPTURE(earlier_id);
+        const std::string refusal =
+            "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n" + earlier_id + "Content-Length: 0\r\n\r\n";
+        std::atomic<int> arrived{0};
+        scripted_endpoint repeating([&](const auto&) {
+            // The first request opens the connection; the later ones run, behind the refusal of another.
+            return scripted_reply{(arrived++ == 0 ? std::string() : refusal) + whole_answer("ran")};
+        });
+        const test_host host;
+        host.use(repeating, "e1");
+        talk(host.address(), request_text("/book/1", "q1", "", "POST"), "ran");
+        host.use(repeating, "e2");
+        const auto answer = talk(host.address(), request_text("/book/1", "q2", "", "POST"), "\r\n\r\n");
+        CHECK_FALSE(answer.starts_with("HTTP/1.1 503"));
+        CHECK(repeating.heads().size() == 2);
+    }
+}
+
 TEST_CASE("a caller that leaves takes its request with it") {
     scripted_endpoint endpoint([](const auto&) {
         return scripted_reply{whole_answer("late"), false, false, 800};
