Bound what is read of an answer that never ends

A body without length or in chunks was read to 64 MB for each request, beside hosts of 112 MB; the frame of a chunk, or an answer to another request, without end held the request to its deadline.

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -84,7 +84,7 @@
     close_quietly(it);
 }
 
-std::shared_ptr<exchange_request> make_request(const gateway_state& state, const call& it,
+std::shared_ptr<exchange_request> make_request(gateway_state& state, const call& it,
                                                const admitted_call& admitted, const placed_call& placed,
                                                common::time_point due) {
     const auto& entry = placed.entry;
@@ -97,6 +97,7 @@
         made->send_deadline = placed.basis.placed_at + traffic::cold_sending_time;
     }
     made->id_header = names.request_id;
+    made->memory = &state.answers;
     const auto left = std::chrono::duration_cast<milliseconds>(admitted.answer_due - now);
     made->message =
         onward_request(it.request, names,
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t answer_head_limit = 65536;
 // Late answers to earlier requests that one exchange reads past.
 constexpr int stray_answers = 3;
+// Bytes of the body of such an answer.
+constexpr std::uint64_t stray_body_limit = 1U << 20U;
 // Bytes that are sent unacknowledged this long break the connection. Longer than two round trips between
 // regions and one retransmission.
 constexpr int unacknowledged_ms = 1500;
@@ -127,16 +129,65 @@
     return common::monotonic::now() + std::min(idle, longest_idle);
 }
 
+using answer_parser = http::response_parser<http::string_body>;
+
+/// Memory that one answer holds while it is read.
+struct memory_share {
+    explicit memory_share(answer_memory* from) : memory(from) {}
+
+    memory_share(const memory_share&) = delete;
+    memory_share& operator=(const memory_share&) = delete;
+    memory_share(memory_share&&) = delete;
+    memory_share& operator=(memory_share&&) = delete;
+
+    ~memory_share() {
+        if (memory != nullptr) {
+            memory->used -= held;
+        }
+    }
+
+    answer_memory* memory;
+    std::int64_t held{0};
+};
+
+/// Notes how much the answer holds by now; false when all answers together hold too much.
+bool hold(memory_share& share, std::size_t bytes) {
+    if (share.memory == nullptr) {
+        return true;
+    }
+    const auto grown = static_cast<std::int64_t>(bytes) - share.held;
+    share.held += grown;
+    return (share.memory->used += grown) <= share.memory->limit;
+}
+
+/// Reads the rest of an answer piece by piece.
+awaitable<void> read_body(const connection_ptr& connection, answer_parser& parser, memory_share& share,
+                          error_code& ec) {
+    while (!ec && !parser.is_done()) {
+        co_await http::async_read_some(connection->stream, connection->input, parser, keep_error(ec));
+        if (!ec && !hold(share, parser.get().body().size())) {
+            ec = http::error::body_limit;
+        }
+    }
+}
+
 /// Reads until the answer to this request has come.
 awaitable<exchange_result> read_answer(const connection_ptr& connection, const exchange_request& request) {
     bool strays = false;
     for (int n = 0; n <= stray_answers; ++n) {
-        http::response_parser<http::string_body> parser;
+        answer_parser parser;
+        memory_share share(request.memory);
         parser.header_limit(answer_head_limit);
         parser.body_limit(request.body_limit);
         parser.skip(request.message.method() == http::verb::head);
         error_code ec;
-        co_await http::async_read(connection->stream, connection->input, parser, keep_error(ec));
+        co_await http::async_read_header(connection->stream, connection->input, parser, keep_error(ec));
+        const auto owner = ec ? answer_owner::unknown : owner_of(*connection, request, parser.get().base());
+        if (!ec && owner == answer_owner::other_request) {
+            // Nobody waits for it; one that goes on without end would hold this request up.
+            parser.body_limit(stray_body_limit);
+        }
+        co_await read_body(connection, parser, share, ec);
         if (ec) {
             co_return ended(end_of(*connection, ec), "read: " + ec.message());
         }
@@ -145,7 +196,6 @@
         if (answer.result_int() < 200) {
             continue;
         }
-        const auto owner = owner_of(*connection, request, answer);
         if (owner == answer_owner::unknown) {
             co_return ended(exchange_end::lost, "a failure without an id, maybe of an earlier request");
         }
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -31,6 +32,17 @@
     std::string reason;
 };
 
+/// Bytes that are read ahead of the parser; a head, or the frame of a chunk, that does not fit is no answer.
+inline constexpr std::size_t input_limit = 128U << 10U;
+
+/// Memory that bodies of answers may take while they are read, for all exchanges that share it.
+struct answer_memory {
+    explicit answer_memory(std::int64_t bytes) : limit(bytes) {}
+
+    const std::int64_t limit;
+    std::atomic<std::int64_t> used{0};
+};
+
 /// A connection to an endpoint or to the store. Touched on its strand only, except `peer` and `idle_until`,
 /// which its holder owns while it is idle.
 struct endpoint_connection {
@@ -38,7 +50,7 @@
 
     connection_strand strand;
     beast::tcp_stream stream;
-    beast::flat_buffer input;
+    beast::flat_buffer input{input_limit};
     std::string peer;
     bool connected{false};
     /// Requests that were sent on it.
@@ -63,6 +75,8 @@
     std::string id_header;
     /// Largest body that is taken.
     std::uint64_t body_limit{64U << 20U};
+    /// Shared by all exchanges of the host; null: only `body_limit` holds.
+    answer_memory* memory{nullptr};
 };
 
 /// Sends a request and reads its answer. Runs on the connection's strand. Answers to other requests are
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -54,6 +54,8 @@
     double cold_slack{0};
     common::milliseconds stop_time{6000};
     int workers{2};
+    /// Memory that answers may take while they are read.
+    std::int64_t answer_bytes{64LL << 20LL};
     /// Connections of callers that may be open; beyond half of it answers ask callers to close theirs.
     int caller_limit{1024};
     /// Lines a second that requests may log.
@@ -117,7 +119,8 @@
 
 /// Everything of one entry host. Locks are taken in the order of their ranks; none is held over I/O.
 struct gateway_state {
-    explicit gateway_state(gateway_options chosen) : options(std::move(chosen)) {}
+    explicit gateway_state(gateway_options chosen)
+        : options(std::move(chosen)), answers(options.answer_bytes) {}
 
     gateway_options options;
     common::time_point started_at{common::monotonic::now()};
@@ -130,6 +133,7 @@
     endpoint_table endpoints;
     connection_table connections;
     caller_table callers;
+    answer_memory answers;
     common::metrics_table metrics;
     /// Streams to the other hosts, once they are open.
     std::atomic<fleet_link*> link{nullptr};
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -277,6 +277,30 @@
     }
 }
 
+TEST_CASE("bytes without end from an endpoint end the request at once and are not kept") {
+    const std::string endless(4U << 20U, 'a');
+    const std::string head = "HTTP/1.1 200 OK\r\nx-id: @ID@\r\n";
+    const std::string stray_head = "HTTP/1.1 200 OK\r\nx-id: other\r\n";
+    for (const auto& bytes :
+         {endless, "HTTP/1.1 200 OK\r\nx-more: " + endless, head + "\r\n" + endless,
+          stray_head + "\r\n" + endless, head + "Content-Length: 99999999999\r\n\r\n" + endless,
+          head + "Transfer-Encoding: chunked\r\n\r\n1;x=" + endless,
+          head + "Transfer-Encoding: chunked\r\n\r\n3fffff\r\n" + endless,
+          head + "Transfer-Encoding: chunked\r\n\r\n0\r\nx-more: " + endless}) {
+        CAPTURE(bytes.substr(0, 80));
+        scripted_endpoint endpoint([&](const auto&) { return scripted_reply{bytes}; });
+        auto options = test_options();
+        options.answer_bytes = 1 << 20;
+        const test_host host(options);
+        host.use(endpoint);
+        const auto begun = common::monotonic::now();
+        const auto answer = talk(host.address(), request_text("/book/1", "q1", "", "POST"), "}");
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(common::milliseconds_between(begun, common::monotonic::now()) < 800);
+        CHECK(host.running->state->answers.used == 0);
+    }
+}
+
 TEST_CASE("a caller that leaves takes its request with it") {
     scripted_endpoint endpoint([](const auto&) {
         return scripted_reply{whole_answer("late"), false, false, 800};
