--- a/source/unit_tests/platform/decode_test.cpp
+++ b/source/unit_tests/platform/decode_test.cpp
@@ -37,6 +37,24 @@
     CHECK(config->limits.body_bytes == 1000);
 }
 
+TEST_CASE("requests of safe and download routes may be repeated, those of any other kind may not") {
+    const auto is_idempotent = [](const std::string& kind) {
+        const auto config = decode_configuration(
+            R"({"version":1,"resources":[{"resource_kind":"routes","metadata":{"name":"r"},"spec":{"prefix":"/x/",)"
+            R"("service":"s","kind":")" +
+            kind + R"("}}]})");
+        REQUIRE(config);
+        REQUIRE(config->routes.size() == 1);
+        return config->routes[0].idempotent;
+    };
+    CHECK(is_idempotent("safe"));
+    CHECK(is_idempotent("download"));
+    for (const auto* kind : {"unsafe", "", "Download", "downloads", "keyed"}) {
+        CAPTURE(kind);
+        CHECK_FALSE(is_idempotent(kind));
+    }
+}
+
 TEST_CASE("malformed configurations are rejected") {
     CHECK_FALSE(decode_configuration("{"));
     CHECK_FALSE(decode_configuration("[]"));
