Refuse in a planned stop what can't be answered before its end, and give up nothing in flight

Cause: a stopping host took requests until its listener closed, whatever time they had, read pipelines on to the end of the stop, and a read sent before the stop began was still given up for a second endpoint. All were cut or repeated. Ruled out: a shorter intake (callers learn late that a host stops). Change: traffic/graceful_stop decides by the time left and the route's target; no request is read once the listener is closed; the early end of an attempt asks whether a stop has begun.

--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -41,6 +41,8 @@
     connection_pool = 90,
     /// gateway: open connections from callers.
     caller_table = 95,
+    /// gateway: plan of the graceful stop.
+    stop_table = 97,
     /// transport: outgoing calls that wait for the peer thread.
     peer_outbox = 100,
     /// common: counters and summaries.
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -90,12 +90,15 @@
 std::shared_ptr<exchange_request> make_exchange_request(gateway_state& state, const call& it,
                                                         const admitted_call& admitted,
                                                         const placed_call& placed,
-                                                        common::time_point deadline) {
+                                                        std::optional<common::time_point> early_deadline) {
     const auto& entry = placed.entry;
     const auto now = monotonic::now();
     const auto& names = state.options.headers;
     auto made = std::make_shared<exchange_request>();
-    made->deadline = deadline;
+    made->deadline = admitted.response_deadline;
+    made->early_deadline = early_deadline;
+    // A stopping host gives up no attempt that its endpoint may still complete.
+    made->waits_in_full = &state.stopping;
     made->connect_deadline = now + connect_timeout;
     if (placed.basis.is_cold) {
         made->send_deadline = placed.basis.placed_at + traffic::cold_sending_time;
@@ -187,13 +190,13 @@
 } // namespace
 
 awaitable<attempt_result> attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
-                                  placed_call placed, common::time_point deadline) {
+                                  placed_call placed, std::optional<common::time_point> early_deadline) {
     const auto& entry = placed.entry;
     const auto& endpoint = placed.endpoint;
     const auto connection = acquire_connection(state, entry, admitted.route->idempotent);
     const bool kept = connection->connected;
     std::shared_ptr<const exchange_request> request =
-        make_exchange_request(state, *pending, admitted, placed, deadline);
+        make_exchange_request(state, *pending, admitted, placed, early_deadline);
     {
         const std::lock_guard guard(state.endpoints.mutex);
         traffic::note_sent(*endpoint, monotonic::now());
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -28,9 +28,10 @@
 };
 
 /// Sends the request to one endpoint, over a pooled connection if there is one, and waits for the response
-/// until `deadline`. Runs on the strand of the caller's connection.
+/// until the request's deadline or, unless this host is stopping, until `early_deadline`. Runs on the strand
+/// of the caller's connection.
 awaitable<attempt_result> attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
-                                  placed_call placed, common::time_point deadline);
+                                  placed_call placed, std::optional<common::time_point> early_deadline);
 
 /// Closes pooled connections whose idle timeout has passed, including those of removed endpoints.
 void prune_endpoint_connections(gateway_state& state);
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -365,6 +365,17 @@
     }
 }
 
+void end_intake(gateway_state& state) {
+    for (const auto& it : open_callers(state)) {
+        net::post(it->strand, [it] {
+            close_if_stale(it, true);
+            // A caller repeats what it sent behind a response that closes the connection.
+            it->closing = true;
+            signal_change(*it);
+        });
+    }
+}
+
 void prune_caller_connections(gateway_state& state, bool close_idle) {
     const auto now = monotonic::now();
     const auto open = open_callers(state);
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -43,6 +43,9 @@
 /// Accepts connections until the listener is closed.
 awaitable<void> accept_callers(gateway_state& state, std::shared_ptr<tcp::acceptor> listener);
 
+/// Lets open connections read no further request, and closes the idle ones: for a graceful stop.
+void end_intake(gateway_state& state);
+
 /// Closes connections whose I/O deadline has passed or whose caller has left, and the longest idle ones when
 /// too many are open. With `close_idle`, for a graceful stop, closes all idle ones.
 void prune_caller_connections(gateway_state& state, bool close_idle);
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -60,7 +60,8 @@
     if (connection.cancelled) {
         return exchange_outcome::cancelled;
     }
-    return ec == beast::error::timeout ? exchange_outcome::timed_out : exchange_outcome::lost;
+    return ec == beast::error::timeout || connection.expired ? exchange_outcome::timed_out
+                                                             : exchange_outcome::lost;
 }
 
 awaitable<bool> connect(const connection_ptr& connection, common::time_point deadline, std::string& reason) {
@@ -219,6 +220,31 @@
     connection.connected = false;
     connection.stream.close();
 }
+/// Ends an exchange at its early deadline. `done` is set when the exchange has ended.
+struct early_timer {
+    explicit early_timer(const connection_strand& strand) : timer(strand) {}
+
+    net::steady_timer timer;
+    bool done{false};
+};
+
+std::shared_ptr<early_timer> start_early_timer(const connection_ptr& connection,
+                                               const std::shared_ptr<const exchange_request>& request) {
+    const auto started = std::make_shared<early_timer>(connection->strand);
+    if (!request->early_deadline) {
+        return started;
+    }
+    started->timer.expires_at(*request->early_deadline);
+    started->timer.async_wait([connection, request, started](const error_code& ec) {
+        const bool waits = request->waits_in_full != nullptr && *request->waits_in_full;
+        if (!ec && !started->done && !waits) {
+            connection->expired = true;
+            connection->stream.close();
+        }
+    });
+    return started;
+}
+
 
 } // namespace
 
@@ -257,8 +283,11 @@
     if (!write->done || write->ec || !connection->reusable) {
         close(*connection);
     }
+    const auto early = start_early_timer(connection, request);
     co_return result;
 }
+    early->done = true;
+    early->timer.cancel();
 
 void cancel_exchange(const connection_ptr& connection) {
     net::post(connection->strand, [connection] {
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -19,12 +19,6 @@
 using common::monotonic;
 
 constexpr milliseconds maintenance_interval{250};
-// Steps of a graceful stop, as fractions of `stop_time`. Callers first get time to learn that this host is
-// not ready and to connect elsewhere, then idle connections and the listener are closed. Requests in flight
-// may run until the last step.
-constexpr double listener_close_fraction = 0.35;
-constexpr double idle_close_fraction = 0.25;
-constexpr double drain_end_fraction = 0.94;
 
 /// Periodic maintenance: prunes connections, answers expired mirror queries, tracks which teams this host is
 /// home of, and removes endpoints and former members that are due.
@@ -48,10 +42,6 @@
     }
 }
 
-milliseconds fraction_of(milliseconds length, double part) {
-    return milliseconds{static_cast<std::int64_t>(static_cast<double>(length.count()) * part)};
-}
-
 void close_listener(const std::shared_ptr<tcp::acceptor>& listener) {
     net::post(listener->get_executor(), [listener] {
         error_code ec;
@@ -107,25 +97,24 @@
 
 void stop_gateway(running_gateway& running) {
     auto& state = *running.state;
-    const auto now = monotonic::now();
-    const auto length = state.options.stop_time;
+    const auto plan = traffic::plan_stop(monotonic::now(), state.options.stop_time);
+    {
+        const std::lock_guard guard(state.stop.mutex);
+        state.stop.plan = plan;
+    }
     state.stopping = true;
     common::log_info("stop_begun", {field("calls", state.requests_in_flight.load())});
     net::co_spawn(state.io,
-                  run_at(state, now + fraction_of(length, idle_close_fraction),
-                         [&state] { prune_caller_connections(state, true); }),
+                  run_at(state, plan.idle_close_at, [&state] { prune_caller_connections(state, true); }),
                   net::detached);
     net::co_spawn(state.io,
-                  run_at(state, now + fraction_of(length, listener_close_fraction),
+                  run_at(state, plan.intake_end,
                          [listener = running.listener, &state] {
                              close_listener(listener);
-                             prune_caller_connections(state, true);
+                             end_intake(state);
                          }),
                   net::detached);
-    net::co_spawn(state.io,
-                  stop_when_drained(state, now + fraction_of(length, listener_close_fraction),
-                                    now + fraction_of(length, drain_end_fraction)),
-                  net::detached);
+    net::co_spawn(state.io, stop_when_drained(state, plan.intake_end, plan.drain_end), net::detached);
     for (auto& it : running.workers) {
         it.join();
     }
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -164,15 +164,9 @@
     common::log_info("host_left", {field("host", name), field("hosts", hosts)});
 }
 
-void forget_former_members(gateway_state& state) {
-    const std::lock_guard guard(state.fleet.mutex);
-    if (state.fleet.view->former.empty()) {
-        return;
-    }
-    auto next = copy_fleet(state);
-    if (traffic::forget_former(*next, monotonic::now())) {
-        state.fleet.view = std::move(next);
-    }
+std::optional<traffic::stop_plan> current_stop_plan(gateway_state& state) {
+    const std::lock_guard guard(state.stop.mutex);
+    return state.stop.plan;
 }
 
 bool may_log(gateway_state& state) {
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "core/traffic/directory.h"
 #include "core/traffic/endpoint_set.h"
 #include "core/traffic/fleet_view.h"
+#include "core/traffic/graceful_stop.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
@@ -119,6 +120,12 @@
 
 struct caller_connection;
 struct fleet_link;
+/// The graceful stop, from its begin.
+struct stop_table {
+    common::ranked_mutex mutex{common::lock_rank::stop_table};
+    std::optional<traffic::stop_plan> plan;
+};
+
 
 /// Open connections of callers; expired entries are removed by `prune_caller_connections`.
 struct caller_table {
@@ -145,6 +152,7 @@
     caller_table callers;
     response_memory_budget response_memory;
     common::metrics_table metrics;
+    stop_table stop;
     /// Connections to the other hosts; null until they are open.
     std::atomic<fleet_link*> link{nullptr};
     /// A graceful stop has begun: this host is not ready for callers any more.
@@ -182,10 +190,11 @@
 void set_domain_vacated(gateway_state& state, std::string_view domain, bool vacated);
 /// Adds or updates a host of the fleet.
 void apply_member(gateway_state& state, traffic::fleet_member member);
-/// Removes a host of the fleet; it is kept as a former member for a while.
-void drop_member(gateway_state& state, std::string_view name);
-/// Removes former members that left long ago.
-void forget_former_members(gateway_state& state);
+/// Removes the hosts whose removal is due, and former members that left long ago.
+void expire_members(gateway_state& state);
+
+/// Deadlines of the graceful stop; empty before one has begun.
+std::optional<traffic::stop_plan> current_stop_plan(gateway_state& state);
 
 /// Whether a line about a request may be logged now; counts dropped lines.
 bool may_log(gateway_state& state);
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -28,6 +28,9 @@
 constexpr int attempt_timeout_factor = 3;
 constexpr common::milliseconds min_attempt_timeout{800};
 
+// A caller that a stopping host refuses can use another host at once.
+constexpr common::milliseconds stop_retry_after{0};
+
 /// State of one admitted request over all its attempts.
 struct call_progress {
     admitted_call admitted;
@@ -99,19 +102,18 @@
            take_retry(state, progress.admitted.service);
 }
 
-/// Deadline of the next attempt. A lost response can only be detected by a timeout: an idempotent request
-/// gets a short one, so that it can be retried while its caller still waits, provided that more than half of
-/// the retry budget is left.
-common::time_point attempt_deadline(gateway_state& state, const call_progress& progress) {
+/// Time at which the next attempt is given up for another one; empty to wait for the response in full. A lost
+/// response can only be detected by a timeout: an idempotent request gets a short one, so that it can be
+/// retried while its caller still waits, provided that more than half of the retry budget is left.
+std::optional<common::time_point> early_deadline(gateway_state& state, const call_progress& progress) {
     const auto& route = *progress.admitted.route;
     const auto due = progress.admitted.response_deadline;
     const bool is_last = static_cast<int>(progress.tried.size()) + 1 >= route.attempt_limit;
     const auto early =
         monotonic::now() + std::max(min_attempt_timeout, route.target_latency * attempt_timeout_factor);
-    // A stopping host gives up no attempt that its endpoint may still complete.
-    if (state.stopping || !route.idempotent || is_last || early + route.target_latency > due ||
+    if (!route.idempotent || is_last || early + route.target_latency > due ||
         !has_retry_headroom(state, progress.admitted.service)) {
-        return due;
+        return std::nullopt;
     }
     return early;
 }
@@ -119,9 +121,9 @@
 /// Makes one attempt; true when `it` has its final response.
 awaitable<bool> run_attempt(gateway_state& state, caller_ptr caller, call_ptr it,
                             std::shared_ptr<call_progress> progress, placed_call placed) {
-    const auto due = attempt_deadline(state, *progress);
+    const auto early = early_deadline(state, *progress);
     progress->tried.push_back(placed.entry.id);
-    auto result = co_await attempt(state, it, progress->admitted, std::move(placed), due);
+    auto result = co_await attempt(state, it, progress->admitted, std::move(placed), early);
     progress->last_reason = result.reason;
     if (result.outcome == attempt_outcome::answered) {
         finish(state, *caller, *it, forwarded_response(std::move(result.response), it->request),
@@ -135,6 +137,16 @@
     co_return false;
 }
 
+/// Whether this host is stopping and can't expect the answer before its end.
+bool is_too_late(gateway_state& state, const admitted_call& it) {
+    const auto plan = state.stopping ? current_stop_plan(state) : std::nullopt;
+    return plan && !traffic::may_take(*plan,
+                                      {.idempotent = it.route->idempotent,
+                                       .target_latency = it.route->target_latency,
+                                       .response_deadline = it.response_deadline},
+                                      monotonic::now());
+}
+
 /// Takes a token of the team's rate limit, unless the route needs no key. Returns the Retry-After time when
 /// the team exceeds its rate, empty when the request may proceed.
 awaitable<std::optional<common::milliseconds>> acquire_rate_token(gateway_state& state,
@@ -194,6 +206,12 @@
     } else {
         const auto progress = std::make_shared<call_progress>();
         progress->admitted = std::move(std::get<admitted_call>(decision));
+        if (is_too_late(state, progress->admitted)) {
+            refuse(state, *caller, *pending, {.reason = "stopping", .retry_after = stop_retry_after},
+                   progress.get());
+            --state.requests_in_flight;
+            co_return;
+        }
         const auto retry_after = co_await acquire_rate_token(state, progress->admitted);
         if (retry_after && !pending->abandoned) {
             refuse(state, *caller, *pending,
