Give up a read of the store only when it stalls

Cause: each call had 1.5 s as a whole. Change: the time counts between two reads of a body. A test with a store that sends slowly failed before.

--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_exchange.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/beast/http/parser.hpp>
@@ -165,9 +166,13 @@
 }
 
 /// Reads the rest of a response, checking the memory budget after each read.
-awaitable<void> read_body(const connection_ptr& connection, string_response_parser& parser,
-                          memory_reservation& reservation, error_code& ec) {
+awaitable<void> read_body(const connection_ptr& connection, const exchange_request& request,
+                          string_response_parser& parser, memory_reservation& reservation, error_code& ec) {
     while (!ec && !parser.is_done()) {
+        if (request.max_stall.count() > 0) {
+            connection->stream.expires_at(
+                std::max(request.deadline, common::monotonic::now() + request.max_stall));
+        }
         co_await http::async_read_some(connection->stream, connection->input, parser, keep_error(ec));
         if (!ec && !reserve_memory(reservation, parser.get().body().size())) {
             ec = http::error::body_limit;
@@ -191,7 +196,7 @@
             // A stray response without end would block this request.
             parser.body_limit(max_stray_body_bytes);
         }
-        co_await read_body(connection, parser, reservation, ec);
+        co_await read_body(connection, request, parser, reservation, ec);
         if (ec) {
             co_return unanswered(classify_error(*connection, ec), "read: " + ec.message());
         }
@@ -215,11 +220,6 @@
     co_return unanswered(exchange_outcome::lost, "only responses to other requests arrived");
 }
 
-void close(endpoint_connection& connection) {
-    connection.reusable = false;
-    connection.connected = false;
-    connection.stream.close();
-}
 /// Ends an exchange at its early deadline. `done` is set when the exchange has ended.
 struct early_timer {
     explicit early_timer(const connection_strand& strand) : timer(strand) {}
@@ -245,6 +245,11 @@
     return started;
 }
 
+void close(endpoint_connection& connection) {
+    connection.reusable = false;
+    connection.connected = false;
+    connection.stream.close();
+}
 
 } // namespace
 
@@ -278,16 +283,16 @@
             co_return unanswered(exchange_outcome::not_sent, "write: " + write->ec.message());
         }
     }
+    const auto early = start_early_timer(connection, request);
     // After a failed write the socket may still hold a response that the endpoint sent before it closed.
     auto result = co_await read_response(connection, *request);
+    early->done = true;
+    early->timer.cancel();
     if (!write->done || write->ec || !connection->reusable) {
         close(*connection);
     }
-    const auto early = start_early_timer(connection, request);
     co_return result;
 }
-    early->done = true;
-    early->timer.cancel();
 
 void cancel_exchange(const connection_ptr& connection) {
     net::post(connection->strand, [connection] {
