Keep hosts whose leases ran out in an outage, and apply changes of hosts together

Cause: after an outage in which leases ran out, all hosts left at once and joined one by one; look-ups and homes changed with each, and each change copied the fleet and computed its shares anew (quadratic in the hosts).

--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -29,7 +29,7 @@
         prune_caller_connections(state, false);
         prune_endpoint_connections(state);
         answer_expired_waiters(state.mirror);
-        forget_former_members(state);
+        expire_members(state);
         update_home_teams(state);
         std::vector<std::string> gone;
         {
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -14,8 +14,21 @@
 
 constexpr common::milliseconds one_second{1000};
 
-std::shared_ptr<fleet_view> copy_fleet(const gateway_state& state) {
-    return std::make_shared<fleet_view>(*state.fleet.view);
+/// Hosts that joined and left with one change of the fleet.
+struct fleet_update {
+    std::vector<std::string> joined;
+    std::vector<std::string> left;
+    /// Number of hosts after it.
+    std::size_t hosts{0};
+};
+
+void log_update(const fleet_update& update) {
+    for (const auto& name : update.joined) {
+        common::log_info("host_joined", {field("host", name), field("hosts", update.hosts)});
+    }
+    for (const auto& name : update.left) {
+        common::log_info("host_left", {field("host", name), field("hosts", update.hosts)});
+    }
 }
 
 std::string_view change_name(traffic::endpoint_change change) {
@@ -137,31 +150,56 @@
                                         field("cold_ms", vacated ? 0 : cold_time.count())});
 }
 
-void apply_member(gateway_state& state, traffic::fleet_member member) {
-    const auto name = member.name;
-    std::size_t hosts = 0;
+void apply_members(gateway_state& state, std::vector<traffic::member_change> changes,
+                   common::time_point removal_not_before) {
+    const auto now = monotonic::now();
+    fleet_update update;
     {
         const std::lock_guard guard(state.fleet.mutex);
-        auto next = copy_fleet(state);
-        traffic::add_member(*next, std::move(member), state.options.host, monotonic::now());
-        hosts = next->names.size();
+        auto& removals_due = state.fleet.removals_due;
+        for (const auto& it : changes) {
+            removals_due.erase(it.name);
+            if (it.member) {
+                update.joined.push_back(it.name);
+            } else if (removal_not_before > now) {
+                removals_due.emplace(it.name, removal_not_before);
+            }
+        }
+        std::erase_if(changes, [&](const auto& it) { return removals_due.contains(it.name); });
+        if (changes.empty()) {
+            return;
+        }
+        auto next = std::make_shared<fleet_view>(*state.fleet.view);
+        update.left = traffic::change_members(*next, std::move(changes), state.options.host, now);
+        update.hosts = next->names.size();
         state.fleet.view = std::move(next);
     }
-    common::log_info("host_joined", {field("host", name), field("hosts", hosts)});
+    log_update(update);
 }
 
-void drop_member(gateway_state& state, std::string_view name) {
-    std::size_t hosts = 0;
+void apply_member(gateway_state& state, traffic::fleet_member member) {
+    auto name = member.name;
+    apply_members(state, {{std::move(name), std::move(member)}}, {});
+}
+
+void expire_members(gateway_state& state) {
+    const auto now = monotonic::now();
+    std::vector<traffic::member_change> due;
     {
         const std::lock_guard guard(state.fleet.mutex);
-        auto next = copy_fleet(state);
-        if (!traffic::remove_member(*next, name, state.options.host, monotonic::now())) {
-            return;
+        for (const auto& [name, at] : state.fleet.removals_due) {
+            if (at <= now) {
+                due.push_back({name, std::nullopt});
+            }
+        }
+        auto& view = state.fleet.view;
+        if (traffic::has_expired_former(*view, now)) {
+            auto next = std::make_shared<fleet_view>(*view);
+            traffic::forget_former(*next, now);
+            view = std::move(next);
         }
-        hosts = next->names.size();
-        state.fleet.view = std::move(next);
     }
-    common::log_info("host_left", {field("host", name), field("hosts", hosts)});
+    apply_members(state, std::move(due), {});
 }
 
 std::optional<traffic::stop_plan> current_stop_plan(gateway_state& state) {
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -82,6 +82,8 @@
 struct fleet_table {
     common::ranked_mutex mutex{common::lock_rank::fleet_table};
     std::shared_ptr<const fleet_view> view{std::make_shared<fleet_view>()};
+    /// Hosts to be removed, by name, unless they register again before.
+    std::map<std::string, common::time_point, std::less<>> removals_due;
 };
 
 /// Rate limits of the teams: this host's own tokens, and those that it lends as a home.
@@ -188,7 +190,11 @@
 void drop_endpoint(gateway_state& state, std::string_view id, std::optional<common::time_point> due);
 /// Marks a failure domain as vacated, so that its endpoints get no work, or as in use again.
 void set_domain_vacated(gateway_state& state, std::string_view domain, bool vacated);
-/// Adds or updates a host of the fleet.
+/// Applies changes of the fleet's hosts. Hosts that left are removed at `removal_not_before` unless they
+/// register again before, and are kept as former members for a while.
+void apply_members(gateway_state& state, std::vector<traffic::member_change> changes,
+                   common::time_point removal_not_before);
+/// Adds or updates one host of the fleet.
 void apply_member(gateway_state& state, traffic::fleet_member member);
 /// Removes the hosts whose removal is due, and former members that left long ago.
 void expire_members(gateway_state& state);
--- a/source/core/traffic/fleet_view.cpp
+++ b/source/core/traffic/fleet_view.cpp
@@ -15,20 +15,17 @@
     view.own_caller_share = expected_caller_share(view.members, own_host);
 }
 
-} // namespace
-
-void add_member(fleet_view& view, fleet_member member, std::string_view own_host, common::time_point now) {
-    if (member.name == own_host && !view.member_since) {
+void insert_member(fleet_view& view, member_change change, std::string_view own_host,
+                   common::time_point now) {
+    if (change.name == own_host && !view.member_since) {
         view.member_since = now;
     }
-    std::erase_if(view.former, [&](const auto& it) { return it.name == member.name; });
-    const auto name = member.name;
-    view.members[name] = std::move(member);
-    refresh(view, own_host);
+    std::erase_if(view.former, [&](const auto& it) { return it.name == change.name; });
+    view.members[change.name] = std::move(*change.member);
 }
 
-bool remove_member(fleet_view& view, std::string_view name, std::string_view own_host,
-                   common::time_point now) {
+bool erase_member(fleet_view& view, std::string_view name, std::string_view own_host,
+                  common::time_point now) {
     const auto found = view.members.find(name);
     if (found == view.members.end()) {
         return false;
@@ -38,10 +35,40 @@
         view.member_since.reset();
     }
     view.former.push_back({std::string(name), now});
-    refresh(view, own_host);
     return true;
 }
 
+} // namespace
+
+std::vector<std::string> change_members(fleet_view& view, std::vector<member_change> changes,
+                                        std::string_view own_host, common::time_point now) {
+    std::vector<std::string> left;
+    for (auto& it : changes) {
+        if (it.member) {
+            insert_member(view, std::move(it), own_host, now);
+        } else if (erase_member(view, it.name, own_host, now)) {
+            left.push_back(std::move(it.name));
+        }
+    }
+    refresh(view, own_host);
+    return left;
+}
+
+void add_member(fleet_view& view, fleet_member member, std::string_view own_host, common::time_point now) {
+    auto name = member.name;
+    change_members(view, {{std::move(name), std::move(member)}}, own_host, now);
+}
+
+bool remove_member(fleet_view& view, std::string_view name, std::string_view own_host,
+                   common::time_point now) {
+    return !change_members(view, {{std::string(name), std::nullopt}}, own_host, now).empty();
+}
+
+bool has_expired_former(const fleet_view& view, common::time_point now) {
+    return std::any_of(view.former.begin(), view.former.end(),
+                       [&](const auto& it) { return it.left_at + handover_time <= now; });
+}
+
 bool forget_former(fleet_view& view, common::time_point now) {
     return std::erase_if(view.former, [&](const auto& it) { return it.left_at + handover_time <= now; }) > 0;
 }
--- a/source/core/traffic/fleet_view.h
+++ b/source/core/traffic/fleet_view.h
@@ -38,6 +38,17 @@
     double own_caller_share{0};
 };
 
+/// A host that joined or changed its entry or, without `member`, left.
+struct member_change {
+    std::string name;
+    std::optional<fleet_member> member;
+};
+
+/// Applies changes in their order and returns the names of the members that left. What is derived from the
+/// members is computed once for all changes.
+std::vector<std::string> change_members(fleet_view& view, std::vector<member_change> changes,
+                                        std::string_view own_host, common::time_point now);
+
 /// Adds a host, or replaces its entry.
 void add_member(fleet_view& view, fleet_member member, std::string_view own_host, common::time_point now);
 
@@ -45,6 +56,9 @@
 bool remove_member(fleet_view& view, std::string_view name, std::string_view own_host,
                    common::time_point now);
 
+/// Whether a former member left at least `handover_time` ago.
+bool has_expired_former(const fleet_view& view, common::time_point now);
+
 /// Drops former members that left at least `handover_time` ago. Returns whether any was dropped.
 bool forget_former(fleet_view& view, common::time_point now);
 
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -113,7 +113,8 @@
 
 std::vector<std::string> homes_of(const fleet_members& members, std::string_view team) {
     const auto seed = common::stable_hash(team);
-    std::vector<std::pair<std::uint64_t, std::string>> ranks;
+    std::vector<std::pair<std::uint64_t, std::string_view>> ranks;
+    ranks.reserve(members.size());
     for (const auto& [name, it] : members) {
         if (!it.peer_address.empty()) {
             ranks.emplace_back(common::stable_hash(name, seed), name);
@@ -124,7 +125,7 @@
                       std::greater<>());
     std::vector<std::string> names;
     for (std::size_t n = 0; n < homes; ++n) {
-        names.push_back(ranks[n].second);
+        names.emplace_back(ranks[n].second);
     }
     return names;
 }
