--- a/source/core/gateway/fleet_link.cpp
+++ b/source/core/gateway/fleet_link.cpp
@@ -27,8 +27,10 @@
     const auto read = schema::decode<schema::peer_message>(message, "host");
     if (read && read->body.type == schema::peer_body::mirror_question) {
         const auto& question = *read->body.Asmirror_question();
-        const milliseconds wait{std::clamp(question.wait, 0, max_wait_ms)};
-        query_mirror(state.mirror, question.after, wait, respond);
+        const mirror_query query{.after = question.after,
+                                 .wait = milliseconds{std::clamp(question.wait, 0, max_wait_ms)},
+                                 .max_age = milliseconds{std::max(question.max_age, 0)}};
+        query_mirror(state.mirror, query, respond);
         return;
     }
     if (read && read->body.type == schema::peer_body::rate_question) {
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -82,6 +82,24 @@
 
 bool is_ready(gateway_state& state) {
     if (state.stopping || !current_configuration(state)) {
+common::boot_clock::time_point membership_valid_until(gateway_state& state) {
+    return std::max(mirror_confirmed_at(state) + traffic::membership_validity, known_outage_end(state));
+}
+
+common::boot_clock::time_point home_valid_until(gateway_state& state) {
+    const common::boot_clock::time_point registered_until{
+        common::boot_clock::duration(state.registered_until.load())};
+    const auto confirmed = mirror_confirmed_at(state) + traffic::membership_validity;
+    return std::max(std::min<common::boot_clock::time_point>(confirmed, registered_until),
+                    known_outage_end(state));
+}
+
+void note_outage_witness(gateway_state& state, std::string_view host,
+                         common::boot_clock::time_point asked_at) {
+    const std::lock_guard guard(state.mirror.mutex);
+    traffic::note_witness(state.mirror.outage, host, asked_at);
+}
+
         return false;
     }
     const std::lock_guard guard(state.endpoints.mutex);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -180,6 +180,18 @@
 /// Whether this host can serve callers: it has a configuration and at least one endpoint, and no stop has
 /// begun.
 bool is_ready(gateway_state& state);
+/// Until when this host may rely on its view of the fleet for shares of fleet-wide limits: for
+/// `membership_validity` after the store confirmed it, and while the store confirms nothing to any host.
+common::boot_clock::time_point membership_valid_until(gateway_state& state);
+
+/// Until when this host may lend tokens as a home: while its view of the fleet is valid and its own entry is
+/// surely in the store, and while the store confirms nothing to any host.
+common::boot_clock::time_point home_valid_until(gateway_state& state);
+
+/// Records that another host's mirror was outdated too when it was asked.
+void note_outage_witness(gateway_state& state, std::string_view host,
+                         common::boot_clock::time_point asked_at);
+
 
 /// Puts a configuration in force; false when its version is not newer than the current one.
 bool apply_configuration(gateway_state& state, const std::shared_ptr<const traffic::configuration>& newer);
--- a/source/core/gateway/state_mirror.cpp
+++ b/source/core/gateway/state_mirror.cpp
@@ -115,11 +115,16 @@
     schema::bytes message;
 };
 
+/// Whether the mirror is older than the waiter accepts, so that it should ask another host.
+bool is_too_old(const state_mirror& mirror, const mirror_waiter& it) {
+    return it.max_age.count() > 0 && common::boot_clock::now() - mirror.confirmed_at > it.max_age;
+}
+
 /// Removes the waiters that have changes to get or whose wait is over, and encodes their answers.
 std::vector<ready_response> take_answerable_waiters(mirror_table& table, common::time_point now) {
     std::vector<ready_response> ready;
     std::erase_if(table.waiters, [&](mirror_waiter& it) {
-        if (it.after >= table.mirror.change_revision && it.due > now) {
+        if (it.after >= table.mirror.change_revision && it.due > now && !is_too_old(table.mirror, it)) {
             return false;
         }
         ready.push_back({std::move(it.respond), encode_answer(table.mirror, it.after)});
@@ -172,12 +177,13 @@
     return changes;
 }
 
-void query_mirror(mirror_table& table, std::uint64_t after, milliseconds wait,
+void query_mirror(mirror_table& table, const mirror_query& query,
                   std::function<void(schema::bytes)> respond) {
     std::vector<ready_response> ready;
     {
         const std::lock_guard guard(table.mutex);
-        table.waiters.push_back({after, monotonic::now() + wait, std::move(respond)});
+        table.waiters.push_back(
+            {query.after, monotonic::now() + query.wait, query.max_age, std::move(respond)});
         ready = take_answerable_waiters(table, monotonic::now());
     }
     send_all(std::move(ready));
--- a/source/core/gateway/state_mirror.h
+++ b/source/core/gateway/state_mirror.h
@@ -11,6 +11,7 @@
 #include "core/common/clock.h"
 #include "core/common/ranked_mutex.h"
 #include "core/schema/codec.h"
+#include "core/traffic/store_outage.h"
 
 namespace lycheegap::gateway {
 
@@ -77,6 +78,8 @@
     std::uint64_t after{0};
     /// The query is answered by then, even without changes.
     common::time_point due;
+    /// The query is answered once the mirror has not been confirmed for this time; 0 for any age.
+    common::milliseconds max_age{0};
     std::function<void(schema::bytes)> respond;
 };
 
@@ -85,12 +88,23 @@
     common::ranked_mutex mutex{common::lock_rank::mirror_table};
     state_mirror mirror;
     std::vector<mirror_waiter> waiters;
+    /// Other hosts that had no current mirror either.
+    traffic::outage_evidence outage;
 };
 
-/// Long poll: calls `respond` with the encoded changes after a revision, at once when there are any, else at
-/// the next change or after `wait`.
-void query_mirror(mirror_table& table, std::uint64_t after, common::milliseconds wait,
-                  std::function<void(schema::bytes)> respond);
+/// A query of another host.
+struct mirror_query {
+    /// Revision that the other host has.
+    std::uint64_t after{0};
+    /// Longest time to wait for a change.
+    common::milliseconds wait{0};
+    /// No wait once the mirror has not been confirmed for this time; 0 for any age.
+    common::milliseconds max_age{0};
+};
+
+/// Long poll: calls `respond` with the encoded changes after a revision, at once when there are any or the
+/// mirror is too old, else at the next change or after the wait.
+void query_mirror(mirror_table& table, const mirror_query& query, std::function<void(schema::bytes)> respond);
 
 /// Merges an update, answers the queries that waited for it and returns the items that changed.
 std::vector<mirror_item> publish_update(mirror_table& table, mirror_update update);
--- a/source/unit_tests/gateway/state_mirror_test.cpp
+++ b/source/unit_tests/gateway/state_mirror_test.cpp
@@ -75,7 +75,7 @@
     const auto keep = [&](const schema::bytes& message) {
         answer = decode_mirror_answer(message, asked_at, "peer");
     };
-    query_mirror(table, 2, milliseconds(10000), keep);
+    query_mirror(table, {.after = 2, .wait = milliseconds(10000)}, keep);
     CHECK_FALSE(answer);
     publish_update(table, update(3, {{"b", "2", 3, 0, false}}));
     REQUIRE(answer);
@@ -84,7 +84,27 @@
     CHECK(answer->items[0].value == "2");
     CHECK(common::boot_clock::now() - answer->confirmed_at < milliseconds(5000));
     answer.reset();
-    query_mirror(table, 3, milliseconds(0), keep);
+    query_mirror(table, {.after = 3, .wait = milliseconds(0)}, keep);
+    CHECK(answer);
+}
+
+TEST_CASE("a host whose mirror is too old answers a query at once") {
+    mirror_table table;
+    publish_update(table, update(2, {{"a", "1", 1, 0, false}}, true));
+    table.mirror.confirmed_at = common::boot_clock::now() - milliseconds(900);
+    std::optional<mirror_update> answer;
+    const auto keep = [&](const schema::bytes& message) {
+        answer = decode_mirror_answer(message, common::boot_clock::now(), "peer");
+    };
+    const mirror_query query{.after = 2, .wait = milliseconds(10'000), .max_age = milliseconds(1000)};
+    query_mirror(table, query, keep);
+    CHECK_FALSE(answer);
+    table.mirror.confirmed_at = common::boot_clock::now() - milliseconds(1100);
+    answer_expired_waiters(table);
+    REQUIRE(answer);
+    CHECK(common::boot_clock::now() - answer->confirmed_at > milliseconds(1000));
+    answer.reset();
+    query_mirror(table, query, keep);
     CHECK(answer);
 }
 
@@ -98,7 +118,7 @@
     const auto keep = [&](const schema::bytes& message) {
         answer = decode_mirror_answer(message, common::boot_clock::now(), "peer");
     };
-    query_mirror(table, 2, milliseconds(10000), keep);
+    query_mirror(table, {.after = 2, .wait = milliseconds(10000)}, keep);
     CHECK(publish_update(table, update(4, {{"a", "up", 3, 0, false}, {"b", "up", 4, 0, false}})).empty());
     CHECK_FALSE(answer);
     CHECK(publish_update(table, update(5, {{"b", "leaving", 5, 0, false}})).size() == 1);
--- a/source/unit_tests/platform/following_fleet.cpp
+++ b/source/unit_tests/platform/following_fleet.cpp
@@ -78,8 +78,7 @@
     made->registration->member.request_address = state.options.request_address;
     made->registration->member.peer_address = made->fleet->address;
     made->registration->ttl_s = lease_ttl_s;
-    const auto strand = gateway::net::make_strand(state.io);
-    gateway::net::co_spawn(strand, follow_store(made->follower), gateway::net::detached);
+    start_following(made->follower);
     gateway::net::co_spawn(state.io, keep_registered(state, made->registration_client, made->registration),
                            gateway::net::detached);
     hosts.push_back(std::move(made));
