Let homes lend while the store is away for all hosts

Also, a home that the store had turned away lent up to 3 s after its entry was gone. Ruled out: own parts for all hosts (each bucket holds a whole token); confirmation by half of the hosts (messages). Change: other hosts' answers show that the store is away for all; a home otherwise needs its own lease too.

--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -57,6 +57,14 @@
     return longest;
 }
 
+/// Time until which the store is known to confirm nothing to any host; the epoch if it is not.
+common::boot_clock::time_point known_outage_end(gateway_state& state) {
+    const auto members = current_fleet(state)->members.size();
+    const std::lock_guard guard(state.mirror.mutex);
+    const auto known = traffic::outage_known_until(state.mirror.outage, members, common::boot_clock::now());
+    return known.value_or(common::boot_clock::time_point{});
+}
+
 } // namespace
 
 std::shared_ptr<const traffic::configuration> current_configuration(gateway_state& state) {
@@ -74,14 +82,6 @@
     return state.mirror.mirror.confirmed_at;
 }
 
-traffic::membership_knowledge membership_knowledge_of(gateway_state& state, const fleet_view& fleet) {
-    const auto valid_for =
-        mirror_confirmed_at(state) + traffic::membership_validity - common::boot_clock::now();
-    return {state.options.host, &fleet, monotonic::now() + valid_for};
-}
-
-bool is_ready(gateway_state& state) {
-    if (state.stopping || !current_configuration(state)) {
 common::boot_clock::time_point membership_valid_until(gateway_state& state) {
     return std::max(mirror_confirmed_at(state) + traffic::membership_validity, known_outage_end(state));
 }
@@ -100,6 +100,13 @@
     traffic::note_witness(state.mirror.outage, host, asked_at);
 }
 
+traffic::membership_knowledge membership_knowledge_of(gateway_state& state, const fleet_view& fleet) {
+    const auto valid_for = membership_valid_until(state) - common::boot_clock::now();
+    return {state.options.host, &fleet, monotonic::now() + valid_for};
+}
+
+bool is_ready(gateway_state& state) {
+    if (state.stopping || !current_configuration(state)) {
         return false;
     }
     const std::lock_guard guard(state.endpoints.mutex);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -120,14 +120,14 @@
     std::map<std::string, std::vector<connection_ptr>, std::less<>> idle;
 };
 
-struct caller_connection;
-struct fleet_link;
 /// The graceful stop, from its begin.
 struct stop_table {
     common::ranked_mutex mutex{common::lock_rank::stop_table};
     std::optional<traffic::stop_plan> plan;
 };
 
+struct caller_connection;
+struct fleet_link;
 
 /// Open connections of callers; expired entries are removed by `prune_caller_connections`.
 struct caller_table {
@@ -152,13 +152,16 @@
     endpoint_table endpoints;
     connection_table connections;
     caller_table callers;
+    stop_table stop;
     response_memory_budget response_memory;
     common::metrics_table metrics;
-    stop_table stop;
     /// Connections to the other hosts; null until they are open.
     std::atomic<fleet_link*> link{nullptr};
     /// A graceful stop has begun: this host is not ready for callers any more.
     std::atomic<bool> stopping{false};
+    /// Until when this host's entry is surely in the store, in ticks of the boot clock: the end of its lease,
+    /// counted from the request for the last renewal.
+    std::atomic<common::boot_clock::rep> registered_until{0};
     /// Open connections of callers.
     std::atomic<int> open_callers{0};
     /// Requests in flight: read from callers and not finished.
@@ -177,9 +180,6 @@
 /// When the store last confirmed the mirrored state.
 common::boot_clock::time_point mirror_confirmed_at(gateway_state& state);
 
-/// Whether this host can serve callers: it has a configuration and at least one endpoint, and no stop has
-/// begun.
-bool is_ready(gateway_state& state);
 /// Until when this host may rely on its view of the fleet for shares of fleet-wide limits: for
 /// `membership_validity` after the store confirmed it, and while the store confirms nothing to any host.
 common::boot_clock::time_point membership_valid_until(gateway_state& state);
@@ -192,6 +192,9 @@
 void note_outage_witness(gateway_state& state, std::string_view host,
                          common::boot_clock::time_point asked_at);
 
+/// Whether this host can serve callers: it has a configuration and at least one endpoint, and no stop has
+/// begun.
+bool is_ready(gateway_state& state);
 
 /// Puts a configuration in force; false when its version is not newer than the current one.
 bool apply_configuration(gateway_state& state, const std::shared_ptr<const traffic::configuration>& newer);
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -29,11 +29,9 @@
     return found == config.teams.end() ? nullptr : &*found;
 }
 
-/// Whether the store has confirmed the members recently enough for this host to act as a home. Beyond that
-/// another host may have become the home: this host's entry expires after two thirds of its lease at the
-/// earliest, and the next home waits for `home_wait` in addition.
-bool membership_is_current(gateway_state& state) {
-    return common::boot_clock::now() - mirror_confirmed_at(state) <= traffic::membership_validity;
+/// Whether this host may act as a home; later another host may have become the home.
+bool may_act_as_home(gateway_state& state) {
+    return common::boot_clock::now() <= home_valid_until(state);
 }
 
 using traffic::token_loan;
@@ -48,7 +46,7 @@
     const auto config = current_configuration(state);
     const auto* from = config ? find_team_by_name(*config, team) : nullptr;
     const auto fleet = current_fleet(state);
-    if (from == nullptr || !membership_is_current(state)) {
+    if (from == nullptr || !may_act_as_home(state)) {
         return {0, default_retry_after};
     }
     const auto lent =
--- a/source/unit_tests/gateway/team_rates_test.cpp
+++ b/source/unit_tests/gateway/team_rates_test.cpp
@@ -35,6 +35,7 @@
     apply_configuration(*state, configuration_with_rate());
     apply_member(*state, member_named("host-1"));
     state->mirror.mirror.confirmed_at = common::boot_clock::now() + milliseconds(60'000);
+    state->registered_until = (common::boot_clock::now() + milliseconds(60'000)).time_since_epoch().count();
     return state;
 }
 
@@ -64,6 +65,35 @@
     CHECK(tokens_lent(*without_update) == 0);
 }
 
+TEST_CASE(
+    "a home lends on while the store confirms nothing to other hosts either, but not without knowing that") {
+    const auto state = single_host_fleet();
+    apply_member(*state, member_named("host-2"));
+    apply_member(*state, member_named("host-3"));
+    update_home_teams(*state);
+    wait_for_former_home_loans();
+    REQUIRE(tokens_lent(*state) > 0);
+    // More tokens gather.
+    std::this_thread::sleep_for(milliseconds(400));
+    state->mirror.mirror.confirmed_at = common::boot_clock::now() - milliseconds(60'000);
+    CHECK(tokens_lent(*state) == 0);
+    note_outage_witness(*state, "host-2", common::boot_clock::now());
+    CHECK(tokens_lent(*state) > 0);
+    std::this_thread::sleep_for(milliseconds(400));
+    // The answer is too old, as after a suspension.
+    state->mirror.outage.witnesses.front().asked_at -= traffic::witness_validity;
+    CHECK(tokens_lent(*state) == 0);
+}
+
+TEST_CASE("a home whose own lease was not renewed lends nothing, although its view of the fleet is current") {
+    const auto state = single_host_fleet();
+    update_home_teams(*state);
+    wait_for_former_home_loans();
+    CHECK(tokens_lent(*state) > 0);
+    state->registered_until = (common::boot_clock::now() - milliseconds(1)).time_since_epoch().count();
+    CHECK(tokens_lent(*state) == 0);
+}
+
 TEST_CASE("a host that is not a home, or whose members are no longer confirmed, lends nothing") {
     const auto state = single_host_fleet();
     update_home_teams(*state);
