--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -230,7 +230,7 @@
 
 std::shared_ptr<early_timer> start_early_timer(const connection_ptr& connection,
                                                const std::shared_ptr<const exchange_request>& request) {
-    const auto started = std::make_shared<early_timer>(connection->strand);
+    auto started = std::make_shared<early_timer>(connection->strand);
     if (!request->early_deadline) {
         return started;
     }
