--- a/source/unit_tests/platform/store_calls_test.cpp
+++ b/source/unit_tests/platform/store_calls_test.cpp
@@ -73,6 +73,22 @@
     CHECK(result.value.revision == 7);
 }
 
+TEST_CASE("the pauses between failed calls grow, so that a host makes few calls in a long outage") {
+    milliseconds pause{0};
+    milliseconds passed{0};
+    int calls = 0;
+    while (passed < milliseconds(12'000)) {
+        pause = next_backoff(pause, milliseconds(400), milliseconds(1333));
+        CHECK(pause >= milliseconds(400));
+        CHECK(pause <= milliseconds(1333));
+        passed += pause;
+        ++calls;
+    }
+    // 30 with the shortest pause each time.
+    CHECK(calls <= 12);
+    CHECK(next_backoff(milliseconds(0), milliseconds(400), milliseconds(100)) == milliseconds(400));
+}
+
 TEST_CASE("a response that stalls is given up") {
     const auto result = read_slowly(2, milliseconds(2500));
     CHECK(result.status == store_status::unknown);
