Remove a host whose removal is due under one lock

Cause: the removals that are due were collected and applied under two locks; a host that registered again in between would have been removed. Found by reading. The new test plays removal, return and expiry; it can't play the race itself.

--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -31,6 +31,25 @@
     }
 }
 
+/// Replaces the fleet's view by one with the changes; the caller holds the lock of the table.
+fleet_update change_fleet(gateway_state& state, std::vector<traffic::member_change> changes,
+                          common::time_point now) {
+    fleet_update update;
+    if (changes.empty()) {
+        return update;
+    }
+    for (const auto& it : changes) {
+        if (it.member) {
+            update.joined.push_back(it.name);
+        }
+    }
+    auto next = std::make_shared<fleet_view>(*state.fleet.view);
+    update.left = traffic::change_members(*next, std::move(changes), state.options.host, now);
+    update.hosts = next->names.size();
+    state.fleet.view = std::move(next);
+    return update;
+}
+
 std::string_view change_name(traffic::endpoint_change change) {
     switch (change) {
     case traffic::endpoint_change::added:
@@ -184,20 +203,12 @@
         auto& removals_due = state.fleet.removals_due;
         for (const auto& it : changes) {
             removals_due.erase(it.name);
-            if (it.member) {
-                update.joined.push_back(it.name);
-            } else if (removal_not_before > now) {
+            if (!it.member && removal_not_before > now) {
                 removals_due.emplace(it.name, removal_not_before);
             }
         }
         std::erase_if(changes, [&](const auto& it) { return removals_due.contains(it.name); });
-        if (changes.empty()) {
-            return;
-        }
-        auto next = std::make_shared<fleet_view>(*state.fleet.view);
-        update.left = traffic::change_members(*next, std::move(changes), state.options.host, now);
-        update.hosts = next->names.size();
-        state.fleet.view = std::move(next);
+        update = change_fleet(state, std::move(changes), now);
     }
     log_update(update);
 }
@@ -209,22 +220,25 @@
 
 void expire_members(gateway_state& state) {
     const auto now = monotonic::now();
-    std::vector<traffic::member_change> due;
+    fleet_update update;
     {
+        // One lock for all of it: a host that registers again meanwhile must not be removed.
         const std::lock_guard guard(state.fleet.mutex);
-        for (const auto& [name, at] : state.fleet.removals_due) {
-            if (at <= now) {
-                due.push_back({name, std::nullopt});
+        std::vector<traffic::member_change> due;
+        std::erase_if(state.fleet.removals_due, [&](const auto& it) {
+            if (it.second <= now) {
+                due.push_back({it.first, std::nullopt});
             }
-        }
-        auto& view = state.fleet.view;
-        if (traffic::has_expired_former(*view, now)) {
-            auto next = std::make_shared<fleet_view>(*view);
+            return it.second <= now;
+        });
+        update = change_fleet(state, std::move(due), now);
+        if (traffic::has_expired_former(*state.fleet.view, now)) {
+            auto next = std::make_shared<fleet_view>(*state.fleet.view);
             traffic::forget_former(*next, now);
-            view = std::move(next);
+            state.fleet.view = std::move(next);
         }
     }
-    apply_members(state, std::move(due), {});
+    log_update(update);
 }
 
 std::optional<traffic::stop_plan> current_stop_plan(gateway_state& state) {
