Count hosts that left lately among those that must witness an outage

Cause: the number of witnesses followed from the members that a host sees, so that one which had just seen most of them leave needed a single one to go on lending: less knowledge, less strict. Found by reading. Change: former members count, and a host that is no member knows of no outage. The new test was not run on the code before.

--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -78,9 +78,13 @@
 
 /// Time until which the store is known to confirm nothing to any host; the epoch if it is not.
 common::boot_clock::time_point known_outage_end(gateway_state& state) {
-    const auto members = current_fleet(state)->members.size();
+    // Hosts that left lately count on: a host that sees few members must not need fewer witnesses.
+    const auto hosts = traffic::sharing_hosts(*current_fleet(state));
+    if (hosts == 0) {
+        return {};
+    }
     const std::lock_guard guard(state.mirror.mutex);
-    const auto known = traffic::outage_known_until(state.mirror.outage, members, common::boot_clock::now());
+    const auto known = traffic::outage_known_until(state.mirror.outage, hosts, common::boot_clock::now());
     return known.value_or(common::boot_clock::time_point{});
 }
 
--- a/source/unit_tests/gateway/team_rates_test.cpp
+++ b/source/unit_tests/gateway/team_rates_test.cpp
@@ -85,6 +85,21 @@
     CHECK(tokens_lent(*state) == 0);
 }
 
+TEST_CASE("a home that has just seen most hosts leave needs as many witnesses of an outage as before") {
+    const auto state = single_host_fleet();
+    for (int n = 2; n <= 20; ++n) {
+        apply_member(*state, member_named("host-" + std::to_string(n)));
+    }
+    std::vector<traffic::member_change> left;
+    for (int n = 3; n <= 20; ++n) {
+        left.push_back({"host-" + std::to_string(n), std::nullopt});
+    }
+    apply_members(*state, std::move(left), {});
+    state->mirror.mirror.confirmed_at = common::boot_clock::now() - milliseconds(60'000);
+    note_outage_witness(*state, "host-2", common::boot_clock::now());
+    CHECK(home_valid_until(*state) < common::boot_clock::now());
+}
+
 TEST_CASE("a home whose own lease was not renewed lends nothing, although its view of the fleet is current") {
     const auto state = single_host_fleet();
     update_home_teams(*state);
