Log which deadline or decision ended an attempt, and what was left to replace it

A 502 of a stopping host could not be told from a cut by the stop or by the endpoint: attempt_failed said 'Operation canceled' for all of them. It now names what ended the attempt, how long it had run, the retries left at that moment and whether the host was stopping; attempt_sent its number and deadlines; retry_refused why no further attempt followed. No decision is changed.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -146,6 +146,12 @@
     return traffic::take_retry(state.retries.services[std::string(service)], limit, monotonic::now());
 }
 
+double retries_left(gateway_state& state, std::string_view service) {
+    const auto limit = fleet_retry_limit(state);
+    const std::lock_guard guard(state.retries.mutex);
+    return traffic::retries_left(state.retries.services[std::string(service)], limit, monotonic::now());
+}
+
 bool has_retry_headroom(gateway_state& state, std::string_view service) {
     const auto limit = fleet_retry_limit(state);
     const std::lock_guard guard(state.retries.mutex);
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -59,6 +59,8 @@
 
 /// Takes one retry from the service's retry budget; false when the budget is used up.
 bool take_retry(gateway_state& state, std::string_view service);
+/// Retries that this host may still make for the service now.
+double retries_left(gateway_state& state, std::string_view service);
 /// Whether more than half of the service's retry budget is left.
 bool has_retry_headroom(gateway_state& state, std::string_view service);
 
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -118,11 +118,11 @@
 /// not-run header or status 421 (misdirected request), has not run it.
 attempt_result classify_result(const header_names& names, exchange_result result) {
     if (result.outcome == exchange_outcome::not_sent) {
-        return {attempt_outcome::not_run, {}, std::move(result.reason)};
+        return {attempt_outcome::not_run, {}, std::move(result.reason), result.ended_by};
     }
     if (result.outcome != exchange_outcome::answered) {
         auto reason = fmt::format("{}: {}", exchange_outcome_name(result.outcome), result.reason);
-        return {attempt_outcome::lost, {}, std::move(reason)};
+        return {attempt_outcome::lost, {}, std::move(reason), result.ended_by};
     }
     const auto status = result.response.result_int();
     const bool states_not_run = result.response.find(names.not_run) != result.response.end();
@@ -151,9 +151,10 @@
     }
 }
 
-/// Logs an attempt with the basis of its placement: whether the endpoint was considered cold, the source
-/// and age of that state, and the age of the fleet view.
-void log_attempt_sent(gateway_state& state, const call& it, const placed_call& placed, bool kept) {
+/// Logs an attempt with its deadlines and the basis of its placement: whether the endpoint was considered
+/// cold, the source and age of that state, and the age of the fleet view.
+void log_attempt_sent(gateway_state& state, const call& it, const placed_call& placed,
+                      const exchange_request& request, std::size_t number, bool kept) {
     const auto& basis = placed.basis;
     common::count(state.metrics, basis.is_cold ? "cold_attempts" : "warm_attempts");
     if (!may_log(state)) {
@@ -163,9 +164,12 @@
     const bool told = basis.cold.updated_at != common::time_point{};
     common::log_info(
         "attempt_sent",
-        {field("request_id", to_view(it.request[state.options.headers.request_id])),
+        {field("request_id", to_view(it.request[state.options.headers.request_id])), field("attempt", number),
          field("endpoint", placed.entry.id), field("kept_connection", kept),
-         field("basis", basis.is_cold ? "cold_share" : "warm"),
+         field("due_ms", common::milliseconds_between(now, request.deadline)),
+         field("early_ms",
+               request.early_deadline ? common::milliseconds_between(now, *request.early_deadline) : -1),
+         field("stopping", state.stopping.load()), field("basis", basis.is_cold ? "cold_share" : "warm"),
          field("cold_ms", basis.is_cold ? common::milliseconds_between(now, basis.cold.until) : 0),
          field("cold_source", traffic::source_name(basis.cold.source)),
          field("cold_told_ms", told ? common::milliseconds_between(basis.cold.updated_at, now) : -1),
@@ -175,22 +179,30 @@
                common::milliseconds_between(basis.hosts_confirmed_at, common::boot_clock::now()))});
 }
 
-void log_attempt_failed(gateway_state& state, const call& it, const traffic::endpoint_entry& entry,
-                        const attempt_result& result, bool kept) {
+/// Logs the end of an attempt that was not answered, with what could replace it at that moment.
+void log_attempt_failed(gateway_state& state, const call& it, const placed_call& placed,
+                        std::string_view service, const attempt_result& result, std::size_t number,
+                        bool kept) {
     if (result.outcome == attempt_outcome::answered || !may_log(state)) {
         return;
     }
     common::log_info(
         "attempt_failed",
-        {field("request_id", to_view(it.request[state.options.headers.request_id])),
-         field("endpoint", entry.id), field("address", entry.address), field("kept_connection", kept),
-         field("may_have_run", result.outcome != attempt_outcome::not_run), field("reason", result.reason)});
+        {field("request_id", to_view(it.request[state.options.headers.request_id])), field("attempt", number),
+         field("endpoint", placed.entry.id), field("address", placed.entry.address),
+         field("kept_connection", kept),
+         field("ms", common::milliseconds_between(placed.basis.placed_at, common::boot_clock::now())),
+         field("ended_by", exchange_end_name(result.ended_by)),
+         field("may_have_run", result.outcome != attempt_outcome::not_run),
+         field("retries_left", retries_left(state, service)), field("stopping", state.stopping.load()),
+         field("reason", result.reason)});
 }
 
 } // namespace
 
 awaitable<attempt_result> attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
-                                  placed_call placed, std::optional<common::time_point> early_deadline) {
+                                  placed_call placed, std::optional<common::time_point> early_deadline,
+                                  std::size_t number) {
     const auto& entry = placed.entry;
     const auto& endpoint = placed.endpoint;
     const auto connection = acquire_connection(state, entry, admitted.route->idempotent);
@@ -201,7 +213,7 @@
         const std::lock_guard guard(state.endpoints.mutex);
         traffic::note_sent(*endpoint, monotonic::now());
     }
-    log_attempt_sent(state, *pending, placed, kept);
+    log_attempt_sent(state, *pending, placed, *request, number, kept);
     pending->active_connection = connection;
     auto exchange =
         co_await net::co_spawn(connection->strand, run_exchange(connection, request), net::use_awaitable);
@@ -217,7 +229,7 @@
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
     auto result = classify_result(state.options.headers, std::move(exchange));
     record_result(state, *endpoint, result, report, outcome);
-    log_attempt_failed(state, *pending, entry, result, kept);
+    log_attempt_failed(state, *pending, placed, admitted.service, result, number, kept);
     co_return result;
 }
 
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -25,13 +25,16 @@
     response_message response;
     /// Why the request was not answered, for logs; empty for `answered`.
     std::string reason;
+    /// Meaningful unless `answered`.
+    exchange_end ended_by{exchange_end::endpoint};
 };
 
 /// Sends the request to one endpoint, over a pooled connection if there is one, and waits for the response
-/// until the request's deadline or, unless this host is stopping, until `early_deadline`. Runs on the strand
-/// of the caller's connection.
+/// until the request's deadline or, unless this host is stopping, until `early_deadline`. `number` counts the
+/// attempts of the request from 1. Runs on the strand of the caller's connection.
 awaitable<attempt_result> attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
-                                  placed_call placed, std::optional<common::time_point> early_deadline);
+                                  placed_call placed, std::optional<common::time_point> early_deadline,
+                                  std::size_t number);
 
 /// Closes pooled connections whose idle timeout has passed, including those of removed endpoints.
 void prune_endpoint_connections(gateway_state& state);
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -53,8 +53,9 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
-exchange_result unanswered(exchange_outcome outcome, std::string reason) {
-    return {outcome, {}, std::move(reason)};
+exchange_result unanswered(exchange_outcome outcome, std::string reason,
+                           exchange_end ended_by = exchange_end::endpoint) {
+    return {outcome, {}, std::move(reason), ended_by};
 }
 
 exchange_outcome classify_error(const endpoint_connection& connection, const error_code& ec) {
@@ -65,19 +66,34 @@
                                                              : exchange_outcome::lost;
 }
 
-awaitable<bool> connect(const connection_ptr& connection, common::time_point deadline, std::string& reason) {
+/// What ended a read or write with `ec`.
+exchange_end end_of(const endpoint_connection& connection, const error_code& ec) {
+    if (connection.cancelled) {
+        return exchange_end::cancel;
+    }
+    if (connection.expired) {
+        return exchange_end::early_deadline;
+    }
+    return ec == beast::error::timeout ? exchange_end::response_deadline : exchange_end::endpoint;
+}
+
+awaitable<bool> connect(const connection_ptr& connection, common::time_point deadline,
+                        exchange_result& failure) {
     const auto address = transport::split_address(connection->peer);
     error_code ec;
     const auto ip = net::ip::make_address_v4(address ? address->ip : std::string(), ec);
     if (ec) {
-        reason = "not an IPv4 address and port";
+        failure.reason = "not an IPv4 address and port";
         co_return false;
     }
     const tcp::endpoint target(ip, static_cast<unsigned short>(address->port));
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(target, keep_error(ec));
     if (ec || connection->cancelled) {
-        reason = "connect: " + ec.message();
+        failure.reason = "connect: " + ec.message();
+        failure.ended_by = connection->cancelled         ? exchange_end::cancel
+                           : ec == beast::error::timeout ? exchange_end::connect_deadline
+                                                         : exchange_end::endpoint;
         co_return false;
     }
     connection->connected = true;
@@ -198,7 +214,8 @@
         }
         co_await read_body(connection, request, parser, reservation, ec);
         if (ec) {
-            co_return unanswered(classify_error(*connection, ec), "read: " + ec.message());
+            co_return unanswered(classify_error(*connection, ec), "read: " + ec.message(),
+                                 end_of(*connection, ec));
         }
         const bool closes = parser.get().need_eof() || !parser.get().keep_alive();
         auto response = parser.release();
@@ -256,20 +273,20 @@
 awaitable<exchange_result> run_exchange(connection_ptr connection,
                                         std::shared_ptr<const exchange_request> request) {
     connection->reusable = false;
-    std::string reason;
     if (!connection->connected) {
         const auto due = std::min(request->connect_deadline, request->deadline);
-        const bool ready = co_await connect(connection, due, reason);
+        exchange_result failure;
+        const bool ready = co_await connect(connection, due, failure);
         if (!ready) {
-            const auto outcome =
+            failure.outcome =
                 connection->cancelled ? exchange_outcome::cancelled : exchange_outcome::not_sent;
             close(*connection);
-            co_return unanswered(outcome, std::move(reason));
+            co_return failure;
         }
     }
     if (request->send_deadline && common::boot_clock::now() > *request->send_deadline) {
         close(*connection);
-        co_return unanswered(exchange_outcome::not_sent, "send deadline passed");
+        co_return unanswered(exchange_outcome::not_sent, "send deadline passed", exchange_end::send_deadline);
     }
     connection->stream.expires_at(request->deadline);
     ++connection->requests_sent;
@@ -308,6 +325,24 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::string_view exchange_end_name(exchange_end end) {
+    switch (end) {
+    case exchange_end::endpoint:
+        return "endpoint";
+    case exchange_end::connect_deadline:
+        return "connect_deadline";
+    case exchange_end::send_deadline:
+        return "send_deadline";
+    case exchange_end::response_deadline:
+        return "response_deadline";
+    case exchange_end::early_deadline:
+        return "early_deadline";
+    case exchange_end::cancel:
+        return "cancel";
+    }
+    return "unknown";
+}
+
 std::string_view exchange_outcome_name(exchange_outcome outcome) {
     switch (outcome) {
     case exchange_outcome::answered:
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -25,12 +25,26 @@
     cancelled,
 };
 
+/// What ended an exchange that was not answered.
+enum class exchange_end : std::uint8_t {
+    /// The endpoint or the network: a failed connect, write or read, or an unusable response.
+    endpoint,
+    connect_deadline,
+    send_deadline,
+    response_deadline,
+    early_deadline,
+    /// `cancel_exchange` was called.
+    cancel,
+};
+
 struct exchange_result {
     exchange_outcome outcome{exchange_outcome::not_sent};
     /// The response; set for `answered` only.
     response_message response;
     /// Why there is no response, for logs.
     std::string reason;
+    /// Meaningful unless `answered`.
+    exchange_end ended_by{exchange_end::endpoint};
 };
 
 /// Capacity of the read buffer in bytes. A response head or chunk header that does not fit ends the exchange
@@ -106,7 +120,8 @@
 /// runs.
 bool is_open_and_idle(endpoint_connection& connection);
 
-/// Name of an enumerator, for logs.
+/// Names of enumerators, for logs.
 std::string_view exchange_outcome_name(exchange_outcome outcome);
+std::string_view exchange_end_name(exchange_end end);
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -61,7 +61,8 @@
          field("version", known ? progress->admitted.config->version : 0),
          field("attempts", known ? progress->tried.size() : 0),
          field("endpoint", known && !progress->tried.empty() ? progress->tried.back() : ""),
-         field("ms", elapsed), field("reason", known ? progress->last_reason : "")});
+         field("ms", elapsed), field("stopping", state.stopping.load()),
+         field("reason", known ? progress->last_reason : "")});
 }
 
 /// Sets the final response, logs the request and wakes the writer of the connection.
@@ -91,15 +92,31 @@
             .retry_after = suggested_retry_after(progress.admitted)};
 }
 
-/// Whether another attempt is allowed; takes it from the retry budget if so.
-bool acquire_retry(gateway_state& state, const call_progress& progress) {
+/// Why no further attempt is made; empty if one is allowed, which is then taken from the retry budget.
+std::string_view acquire_retry(gateway_state& state, const call_progress& progress) {
     const auto& route = *progress.admitted.route;
-    if (static_cast<int>(progress.tried.size()) >= route.attempt_limit ||
-        (progress.may_have_run && !route.idempotent)) {
-        return false;
+    if (static_cast<int>(progress.tried.size()) >= route.attempt_limit) {
+        return "attempt_limit";
     }
-    return monotonic::now() < progress.admitted.response_deadline &&
-           take_retry(state, progress.admitted.service);
+    if (progress.may_have_run && !route.idempotent) {
+        return "not_idempotent";
+    }
+    if (monotonic::now() >= progress.admitted.response_deadline) {
+        return "response_deadline";
+    }
+    return take_retry(state, progress.admitted.service) ? "" : "retry_budget";
+}
+
+void log_retry_refused(gateway_state& state, const call& it, const call_progress& progress,
+                       std::string_view why) {
+    if (!may_log(state)) {
+        return;
+    }
+    common::log_info("retry_refused",
+                     {field("request_id", to_view(it.request[state.options.headers.request_id])),
+                      field("attempts", progress.tried.size()), field("why", why),
+                      field("retries_left", retries_left(state, progress.admitted.service)),
+                      field("stopping", state.stopping.load())});
 }
 
 /// Time at which the next attempt is given up for another one; empty to wait for the response in full. A lost
@@ -123,7 +140,8 @@
                             std::shared_ptr<call_progress> progress, placed_call placed) {
     const auto early = early_deadline(state, *progress);
     progress->tried.push_back(placed.entry.id);
-    auto result = co_await attempt(state, it, progress->admitted, std::move(placed), early);
+    auto result =
+        co_await attempt(state, it, progress->admitted, std::move(placed), early, progress->tried.size());
     progress->last_reason = result.reason;
     if (result.outcome == attempt_outcome::answered) {
         finish(state, *caller, *it, forwarded_response(std::move(result.response), it->request),
@@ -170,13 +188,17 @@
     while (!it->abandoned) {
         auto placed = place_call(state, progress->admitted, progress->tried);
         if (!placed) {
+            if (!progress->tried.empty()) {
+                log_retry_refused(state, *it, *progress, "no_endpoint");
+            }
             break;
         }
         const bool answered = co_await run_attempt(state, caller, it, progress, std::move(*placed));
         if (answered || it->abandoned) {
             break;
         }
-        if (!acquire_retry(state, *progress)) {
+        if (const auto why = acquire_retry(state, *progress); !why.empty()) {
+            log_retry_refused(state, *it, *progress, why);
             break;
         }
         common::count(state.metrics, "second_sendings");
--- a/source/core/traffic/retry_share.cpp
+++ b/source/core/traffic/retry_share.cpp
@@ -26,6 +26,11 @@
     return try_record_event(share.retries, now, limit.window, retries_allowed(share, limit, now));
 }
 
+double retries_left(retry_share& share, const retry_limit& limit, common::time_point now) {
+    const auto used = static_cast<double>(count_events(share.retries, now, limit.window));
+    return std::max(0.0, retries_allowed(share, limit, now) - used);
+}
+
 bool has_spare_retry_budget(retry_share& share, const retry_limit& limit, common::time_point now) {
     const auto used = static_cast<double>(count_events(share.retries, now, limit.window));
     return used * 2 < retries_allowed(share, limit, now);
--- a/source/core/traffic/retry_share.h
+++ b/source/core/traffic/retry_share.h
@@ -28,6 +28,9 @@
 /// messages between hosts.
 bool take_retry(retry_share& share, const retry_limit& limit, common::time_point now);
 
+/// Retries that this host's share of the limit still allows now; not below 0.
+double retries_left(retry_share& share, const retry_limit& limit, common::time_point now);
+
 /// Whether more than half of this host's share of the limit is unused.
 bool has_spare_retry_budget(retry_share& share, const retry_limit& limit, common::time_point now);
 
