Keep the running attempt of an overdue read until another one has answered

Callers got 502 for reads that their endpoint was at work on: three times the target latency after its begin an attempt was closed, and only then were another endpoint and the retry budget asked for. Where either was missing nothing replaced it.

When an answer is overdue, a free function now decides by what holds at that moment. The endpoint is placed and the retry taken before anything is sent; the running attempt goes on; the first whole answer goes to the caller and cancels the other attempt. No second attempt is sent while the endpoint answers other requests and reports a queue, nor to an endpoint without a free slot. A retry after a failure is placed before it is taken from the budget.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -109,7 +109,7 @@
 }
 
 std::optional<placed_call> place_call(gateway_state& state, const admitted_call& admitted,
-                                      std::span<const std::string> tried) {
+                                      std::span<const std::string> tried, slot_wait wait) {
     const auto fleet = current_fleet(state);
     const auto* service = traffic::find_service(*admitted.config, admitted.service);
     const double cold_rate = service == nullptr ? 0 : service->cold_rate;
@@ -121,6 +121,7 @@
         .tried = tried,
         .knowledge = membership_knowledge_of(state, *fleet),
         .target_latency = admitted.route->target_latency,
+        .needs_free_slot = wait == slot_wait::excluded,
         .cold_limit = cold_rate * state.options.cold_overage + state.options.cold_slack,
     };
     placement_basis basis;
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
@@ -52,10 +53,13 @@
     placement_basis basis;
 };
 
+/// Whether a request may wait for a slot at its endpoint.
+enum class slot_wait : std::uint8_t { allowed, excluded };
+
 /// Picks the endpoint for the next attempt; empty when none accepts work. `tried` are the ids of the
 /// endpoints tried so far.
 std::optional<placed_call> place_call(gateway_state& state, const admitted_call& admitted,
-                                      std::span<const std::string> tried);
+                                      std::span<const std::string> tried, slot_wait wait);
 
 /// Takes one retry from the service's retry budget; false when the budget is used up.
 bool take_retry(gateway_state& state, std::string_view service);
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -89,16 +89,12 @@
 
 std::shared_ptr<exchange_request> make_exchange_request(gateway_state& state, const call& it,
                                                         const admitted_call& admitted,
-                                                        const placed_call& placed,
-                                                        std::optional<common::time_point> early_deadline) {
+                                                        const placed_call& placed) {
     const auto& entry = placed.entry;
     const auto now = monotonic::now();
     const auto& names = state.options.headers;
     auto made = std::make_shared<exchange_request>();
     made->deadline = admitted.response_deadline;
-    made->early_deadline = early_deadline;
-    // A stopping host gives up no attempt that its endpoint may still complete.
-    made->waits_in_full = &state.stopping;
     made->connect_deadline = now + connect_timeout;
     if (placed.basis.is_cold) {
         made->send_deadline = placed.basis.placed_at + traffic::cold_sending_time;
@@ -151,11 +147,10 @@
     }
 }
 
-/// Logs an attempt with its deadlines and the basis of its placement: whether the endpoint was considered
+/// Logs an attempt with its deadline and the basis of its placement: whether the endpoint was considered
 /// cold, the source and age of that state, and the age of the fleet view.
-void log_attempt_sent(gateway_state& state, const call& it, const placed_call& placed,
-                      const exchange_request& request, std::size_t number, bool kept) {
-    const auto& basis = placed.basis;
+void log_attempt_sent(gateway_state& state, const call& pending, const running_attempt& it) {
+    const auto& basis = it.placed.basis;
     common::count(state.metrics, basis.is_cold ? "cold_attempts" : "warm_attempts");
     if (!may_log(state)) {
         return;
@@ -164,11 +159,10 @@
     const bool told = basis.cold.updated_at != common::time_point{};
     common::log_info(
         "attempt_sent",
-        {field("request_id", to_view(it.request[state.options.headers.request_id])), field("attempt", number),
-         field("endpoint", placed.entry.id), field("kept_connection", kept),
-         field("due_ms", common::milliseconds_between(now, request.deadline)),
-         field("early_ms",
-               request.early_deadline ? common::milliseconds_between(now, *request.early_deadline) : -1),
+        {field("request_id", to_view(pending.request[state.options.headers.request_id])),
+         field("attempt", it.number), field("endpoint", it.placed.entry.id),
+         field("kept_connection", it.kept_connection),
+         field("due_ms", common::milliseconds_between(now, it.request->deadline)),
          field("stopping", state.stopping.load()), field("basis", basis.is_cold ? "cold_share" : "warm"),
          field("cold_ms", basis.is_cold ? common::milliseconds_between(now, basis.cold.until) : 0),
          field("cold_source", traffic::source_name(basis.cold.source)),
@@ -179,60 +173,78 @@
                common::milliseconds_between(basis.hosts_confirmed_at, common::boot_clock::now()))});
 }
 
+std::string_view end_name(const running_attempt& it, const attempt_result& result) {
+    if (it.cancelled == cancel_reason::caller_left) {
+        return "caller_left";
+    }
+    return it.cancelled == cancel_reason::answered_by_other ? "answered_by_other"
+                                                            : exchange_end_name(result.ended_by);
+}
+
 /// Logs the end of an attempt that was not answered, with what could replace it at that moment.
-void log_attempt_failed(gateway_state& state, const call& it, const placed_call& placed,
-                        std::string_view service, const attempt_result& result, std::size_t number,
-                        bool kept) {
+void log_attempt_failed(gateway_state& state, const call& pending, std::string_view service,
+                        const running_attempt& it, const attempt_result& result) {
     if (result.outcome == attempt_outcome::answered || !may_log(state)) {
         return;
     }
-    common::log_info(
-        "attempt_failed",
-        {field("request_id", to_view(it.request[state.options.headers.request_id])), field("attempt", number),
-         field("endpoint", placed.entry.id), field("address", placed.entry.address),
-         field("kept_connection", kept),
-         field("ms", common::milliseconds_between(placed.basis.placed_at, common::boot_clock::now())),
-         field("ended_by", exchange_end_name(result.ended_by)),
-         field("may_have_run", result.outcome != attempt_outcome::not_run),
-         field("retries_left", retries_left(state, service)), field("stopping", state.stopping.load()),
-         field("reason", result.reason)});
+    common::log_info("attempt_failed",
+                     {field("request_id", to_view(pending.request[state.options.headers.request_id])),
+                      field("attempt", it.number), field("endpoint", it.placed.entry.id),
+                      field("address", it.placed.entry.address), field("kept_connection", it.kept_connection),
+                      field("ms", common::milliseconds_between(it.sent_at, monotonic::now())),
+                      field("ended_by", end_name(it, result)),
+                      field("may_have_run", result.outcome != attempt_outcome::not_run),
+                      field("retries_left", retries_left(state, service)),
+                      field("stopping", state.stopping.load()), field("reason", result.reason)});
 }
 
 } // namespace
 
-awaitable<attempt_result> attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
-                                  placed_call placed, std::optional<common::time_point> early_deadline,
-                                  std::size_t number) {
-    const auto& entry = placed.entry;
-    const auto& endpoint = placed.endpoint;
-    const auto connection = acquire_connection(state, entry, admitted.route->idempotent);
-    const bool kept = connection->connected;
-    std::shared_ptr<const exchange_request> request =
-        make_exchange_request(state, *pending, admitted, placed, early_deadline);
+attempt_ptr begin_attempt(gateway_state& state, const call& pending, const admitted_call& admitted,
+                          placed_call placed, std::size_t number) {
+    auto it = std::make_shared<running_attempt>();
+    it->placed = std::move(placed);
+    it->number = number;
+    it->sent_at = monotonic::now();
+    it->connection = acquire_connection(state, it->placed.entry, admitted.route->idempotent);
+    it->kept_connection = it->connection->connected;
+    it->request = make_exchange_request(state, pending, admitted, it->placed);
     {
         const std::lock_guard guard(state.endpoints.mutex);
-        traffic::note_sent(*endpoint, monotonic::now());
+        traffic::note_sent(*it->placed.endpoint, it->sent_at);
     }
-    log_attempt_sent(state, *pending, placed, *request, number, kept);
-    pending->active_connection = connection;
+    log_attempt_sent(state, pending, *it);
+    return it;
+}
+
+awaitable<attempt_result> run_attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
+                                      attempt_ptr it) {
+    const auto connection = it->connection;
     auto exchange =
-        co_await net::co_spawn(connection->strand, run_exchange(connection, request), net::use_awaitable);
-    pending->active_connection.reset();
-    if (pending->abandoned) {
+        co_await net::co_spawn(connection->strand, run_exchange(connection, it->request), net::use_awaitable);
+    if (it->cancelled != cancel_reason::none) {
         // `cancel_exchange` may still be queued on the strand and would cancel the connection's next
         // exchange.
         close_on_strand(connection);
     } else {
-        return_to_pool(state, entry, connection);
+        return_to_pool(state, it->placed.entry, connection);
     }
     const auto outcome = exchange.outcome;
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
     auto result = classify_result(state.options.headers, std::move(exchange));
-    record_result(state, *endpoint, result, report, outcome);
-    log_attempt_failed(state, *pending, placed, admitted.service, result, number, kept);
+    record_result(state, *it->placed.endpoint, result, report, outcome);
+    log_attempt_failed(state, *pending, admitted.service, *it, result);
     co_return result;
 }
 
+void cancel_attempt(running_attempt& it, cancel_reason why) {
+    if (it.result || it.cancelled != cancel_reason::none) {
+        return;
+    }
+    it.cancelled = why;
+    cancel_exchange(it.connection);
+}
+
 void prune_endpoint_connections(gateway_state& state) {
     const auto now = monotonic::now();
     std::vector<connection_ptr> stale;
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "admission.h"
@@ -29,12 +31,38 @@
     exchange_end ended_by{exchange_end::endpoint};
 };
 
-/// Sends the request to one endpoint, over a pooled connection if there is one, and waits for the response
-/// until the request's deadline or, unless this host is stopping, until `early_deadline`. `number` counts the
-/// attempts of the request from 1. Runs on the strand of the caller's connection.
-awaitable<attempt_result> attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
-                                  placed_call placed, std::optional<common::time_point> early_deadline,
-                                  std::size_t number);
+/// Why this host cancelled an attempt.
+enum class cancel_reason : std::uint8_t { none, caller_left, answered_by_other };
+
+/// One attempt of a request. Accessed only on the strand of the caller's connection.
+struct running_attempt {
+    placed_call placed;
+    /// Counts the attempts of the request from 1.
+    std::size_t number{1};
+    common::time_point sent_at;
+    connection_ptr connection;
+    /// The connection comes from the pool.
+    bool kept_connection{false};
+    std::shared_ptr<const exchange_request> request;
+    cancel_reason cancelled{cancel_reason::none};
+    /// Set when the attempt has ended.
+    std::optional<attempt_result> result;
+};
+
+using attempt_ptr = std::shared_ptr<running_attempt>;
+
+/// Prepares an attempt at an endpoint, over a pooled connection if there is one, and counts it there.
+/// `run_attempt` must follow.
+attempt_ptr begin_attempt(gateway_state& state, const call& pending, const admitted_call& admitted,
+                          placed_call placed, std::size_t number);
+
+/// Sends the request and waits for the response until the request's deadline. Runs on the strand of the
+/// caller's connection.
+awaitable<attempt_result> run_attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
+                                      attempt_ptr it);
+
+/// Cancels an attempt that has not ended. Must run on the strand of the caller's connection.
+void cancel_attempt(running_attempt& it, cancel_reason why);
 
 /// Closes pooled connections whose idle timeout has passed, including those of removed endpoints.
 void prune_endpoint_connections(gateway_state& state);
--- a/source/core/gateway/call.h
+++ b/source/core/gateway/call.h
@@ -2,13 +2,14 @@
 
 #include <memory>
 #include <optional>
-#include <string>
+#include <vector>
 
-#include "endpoint_exchange.h"
 #include "net.h"
 
 namespace lycheegap::gateway {
 
+struct running_attempt;
+
 /// One request of a caller, from its arrival to its response. Accessed only on the strand of the caller's
 /// connection.
 struct call {
@@ -17,8 +18,8 @@
     common::time_point arrived_at;
     /// The caller closed its connection; the response is not needed any more.
     bool abandoned{false};
-    /// Connection of the running exchange, for `abandon_call`; null when there is none.
-    connection_ptr active_connection;
+    /// The attempts that have not ended, oldest first.
+    std::vector<std::shared_ptr<running_attempt>> running;
     /// Final response; empty while the request is served.
     std::optional<response_message> response;
 };
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -62,8 +62,7 @@
     if (connection.cancelled) {
         return exchange_outcome::cancelled;
     }
-    return ec == beast::error::timeout || connection.expired ? exchange_outcome::timed_out
-                                                             : exchange_outcome::lost;
+    return ec == beast::error::timeout ? exchange_outcome::timed_out : exchange_outcome::lost;
 }
 
 /// What ended a read or write with `ec`.
@@ -71,9 +70,6 @@
     if (connection.cancelled) {
         return exchange_end::cancel;
     }
-    if (connection.expired) {
-        return exchange_end::early_deadline;
-    }
     return ec == beast::error::timeout ? exchange_end::response_deadline : exchange_end::endpoint;
 }
 
@@ -237,31 +233,6 @@
     co_return unanswered(exchange_outcome::lost, "only responses to other requests arrived");
 }
 
-/// Ends an exchange at its early deadline. `done` is set when the exchange has ended.
-struct early_timer {
-    explicit early_timer(const connection_strand& strand) : timer(strand) {}
-
-    net::steady_timer timer;
-    bool done{false};
-};
-
-std::shared_ptr<early_timer> start_early_timer(const connection_ptr& connection,
-                                               const std::shared_ptr<const exchange_request>& request) {
-    auto started = std::make_shared<early_timer>(connection->strand);
-    if (!request->early_deadline) {
-        return started;
-    }
-    started->timer.expires_at(*request->early_deadline);
-    started->timer.async_wait([connection, request, started](const error_code& ec) {
-        const bool waits = request->waits_in_full != nullptr && *request->waits_in_full;
-        if (!ec && !started->done && !waits) {
-            connection->expired = true;
-            connection->stream.close();
-        }
-    });
-    return started;
-}
-
 void close(endpoint_connection& connection) {
     connection.reusable = false;
     connection.connected = false;
@@ -300,11 +271,8 @@
             co_return unanswered(exchange_outcome::not_sent, "write: " + write->ec.message());
         }
     }
-    const auto early = start_early_timer(connection, request);
     // After a failed write the socket may still hold a response that the endpoint sent before it closed.
     auto result = co_await read_response(connection, *request);
-    early->done = true;
-    early->timer.cancel();
     if (!write->done || write->ec || !connection->reusable) {
         close(*connection);
     }
@@ -335,8 +303,6 @@
         return "send_deadline";
     case exchange_end::response_deadline:
         return "response_deadline";
-    case exchange_end::early_deadline:
-        return "early_deadline";
     case exchange_end::cancel:
         return "cancel";
     }
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -32,7 +32,6 @@
     connect_deadline,
     send_deadline,
     response_deadline,
-    early_deadline,
     /// `cancel_exchange` was called.
     cancel,
 };
@@ -79,8 +78,6 @@
     common::time_point reusable_until;
     /// `cancel_exchange` was called.
     bool cancelled{false};
-    /// The exchange was ended at its early deadline.
-    bool expired{false};
 };
 
 using connection_ptr = std::shared_ptr<endpoint_connection>;
@@ -94,9 +91,6 @@
     /// Longest time between two reads of a response's body; 0 for any. It extends `deadline` while bytes
     /// arrive.
     common::milliseconds max_stall{0};
-    /// Ends the exchange before `deadline`, unless `waits_in_full` is set by then.
-    std::optional<common::time_point> early_deadline;
-    const std::atomic<bool>* waits_in_full{nullptr};
     /// After this time the request is not sent any more; empty sets no limit. On the boot clock, which goes
     /// on while the machine is suspended.
     std::optional<common::boot_clock::time_point> send_deadline;
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -7,6 +7,7 @@
 #include "admission.h"
 #include "attempt.h"
 #include "core/common/log.h"
+#include "core/traffic/second_attempt.h"
 #include "message_headers.h"
 #include "refusal.h"
 #include "team_rates.h"
@@ -22,28 +23,36 @@
 constexpr unsigned int status_bad_gateway = 502;
 constexpr unsigned int status_unavailable = 503;
 constexpr unsigned int status_timeout = 504;
-// Timeout of an attempt that may be followed by another one, in multiples of the route's target latency.
-// Serving an object that the endpoint has not cached takes up to twice the target latency, and the request
-// may wait for a slot before.
-constexpr int attempt_timeout_factor = 3;
-constexpr common::milliseconds min_attempt_timeout{800};
+// Shortest time between two decisions about a second attempt.
+constexpr common::milliseconds min_decision_interval{100};
 
 // A caller that a stopping host refuses can use another host at once.
 constexpr common::milliseconds stop_retry_after{0};
 
 /// State of one admitted request over all its attempts.
 struct call_progress {
+    explicit call_progress(const connection_strand& executor) : timer(executor) {}
+
     admitted_call admitted;
     /// Ids of the endpoints tried so far, one for each attempt.
     std::vector<std::string> tried;
+    /// Endpoint of the attempt that began or ended last.
+    std::string last_endpoint;
     /// At least one attempt may have run the request.
     bool may_have_run{false};
     /// Last server error (5xx) of an endpoint; passed on to the caller if no attempt succeeds.
     std::optional<response_message> error_response;
     /// Why the last attempt failed, for the log.
     std::string last_reason;
+    /// Cancelled when an attempt has ended; expires at `decision_due`.
+    net::steady_timer timer;
+    /// When to decide about a second attempt next.
+    common::time_point decision_due{common::time_point::max()};
+    std::optional<traffic::second_attempt> last_decision;
 };
 
+using progress_ptr = std::shared_ptr<call_progress>;
+
 void log_call(gateway_state& state, const call& it, const call_progress* progress, std::string_view outcome) {
     const auto elapsed = common::milliseconds_between(it.arrived_at, monotonic::now());
     common::measure(state.metrics, "request_ms", static_cast<double>(elapsed));
@@ -60,9 +69,8 @@
          field("service", known ? progress->admitted.service : ""),
          field("version", known ? progress->admitted.config->version : 0),
          field("attempts", known ? progress->tried.size() : 0),
-         field("endpoint", known && !progress->tried.empty() ? progress->tried.back() : ""),
-         field("ms", elapsed), field("stopping", state.stopping.load()),
-         field("reason", known ? progress->last_reason : "")});
+         field("endpoint", known ? progress->last_endpoint : ""), field("ms", elapsed),
+         field("stopping", state.stopping.load()), field("reason", known ? progress->last_reason : "")});
 }
 
 /// Sets the final response, logs the request and wakes the writer of the connection.
@@ -92,8 +100,8 @@
             .retry_after = suggested_retry_after(progress.admitted)};
 }
 
-/// Why no further attempt is made; empty if one is allowed, which is then taken from the retry budget.
-std::string_view acquire_retry(gateway_state& state, const call_progress& progress) {
+/// Why no further attempt may follow a failed one; empty if one may.
+std::string_view retry_obstacle(const call_progress& progress) {
     const auto& route = *progress.admitted.route;
     if (static_cast<int>(progress.tried.size()) >= route.attempt_limit) {
         return "attempt_limit";
@@ -101,10 +109,7 @@
     if (progress.may_have_run && !route.idempotent) {
         return "not_idempotent";
     }
-    if (monotonic::now() >= progress.admitted.response_deadline) {
-        return "response_deadline";
-    }
-    return take_retry(state, progress.admitted.service) ? "" : "retry_budget";
+    return monotonic::now() >= progress.admitted.response_deadline ? "response_deadline" : "";
 }
 
 void log_retry_refused(gateway_state& state, const call& it, const call_progress& progress,
@@ -119,40 +124,144 @@
                       field("stopping", state.stopping.load())});
 }
 
-/// Time at which the next attempt is given up for another one; empty to wait for the response in full. A lost
-/// response can only be detected by a timeout: an idempotent request gets a short one, so that it can be
-/// retried while its caller still waits, provided that more than half of the retry budget is left.
-std::optional<common::time_point> early_deadline(gateway_state& state, const call_progress& progress) {
-    const auto& route = *progress.admitted.route;
-    const auto due = progress.admitted.response_deadline;
-    const bool is_last = static_cast<int>(progress.tried.size()) + 1 >= route.attempt_limit;
-    const auto early =
-        monotonic::now() + std::max(min_attempt_timeout, route.target_latency * attempt_timeout_factor);
-    if (!route.idempotent || is_last || early + route.target_latency > due ||
-        !has_retry_headroom(state, progress.admitted.service)) {
+/// Places a retry after all attempts have failed, and takes it from the retry budget; empty if there is none.
+std::optional<placed_call> place_retry(gateway_state& state, const call& it, const call_progress& progress) {
+    if (const auto why = retry_obstacle(progress); !why.empty()) {
+        log_retry_refused(state, it, progress, why);
+        return std::nullopt;
+    }
+    auto placed = place_call(state, progress.admitted, progress.tried, slot_wait::allowed);
+    if (!placed) {
+        log_retry_refused(state, it, progress, "no_endpoint");
+        return std::nullopt;
+    }
+    if (!take_retry(state, progress.admitted.service)) {
+        log_retry_refused(state, it, progress, "retry_budget");
         return std::nullopt;
     }
-    return early;
+    common::count(state.metrics, "second_sendings");
+    return placed;
 }
 
-/// Makes one attempt; true when `it` has its final response.
-awaitable<bool> run_attempt(gateway_state& state, caller_ptr caller, call_ptr it,
-                            std::shared_ptr<call_progress> progress, placed_call placed) {
-    const auto early = early_deadline(state, *progress);
+/// Runs a started attempt and wakes the request that waits for it.
+awaitable<void> run_started(gateway_state& state, call_ptr it, progress_ptr progress, attempt_ptr one) {
+    one->result = co_await run_attempt(state, it, progress->admitted, one);
+    progress->timer.cancel();
+}
+
+void start_attempt(gateway_state& state, const caller_ptr& caller, const call_ptr& it,
+                   const progress_ptr& progress, placed_call placed) {
     progress->tried.push_back(placed.entry.id);
-    auto result =
-        co_await attempt(state, it, progress->admitted, std::move(placed), early, progress->tried.size());
-    progress->last_reason = result.reason;
+    progress->last_endpoint = placed.entry.id;
+    const auto one = begin_attempt(state, *it, progress->admitted, std::move(placed), progress->tried.size());
+    it->running.push_back(one);
+    progress->decision_due = traffic::overdue_at(one->sent_at, progress->admitted.route->target_latency);
+    net::co_spawn(caller->strand, run_started(state, it, progress, one), net::detached);
+}
+
+/// Applies the result of an attempt that has ended.
+void apply_result(gateway_state& state, caller_connection& caller, call& it, call_progress& progress,
+                  attempt_result result) {
+    progress.last_reason = std::move(result.reason);
     if (result.outcome == attempt_outcome::answered) {
-        finish(state, *caller, *it, forwarded_response(std::move(result.response), it->request),
-               progress.get(), "answered");
-        co_return true;
+        finish(state, caller, it, forwarded_response(std::move(result.response), it.request), &progress,
+               "answered");
+        return;
     }
     if (result.outcome == attempt_outcome::failed) {
-        progress->error_response = std::move(result.response);
+        progress.error_response = std::move(result.response);
+    }
+    progress.may_have_run = progress.may_have_run || result.outcome != attempt_outcome::not_run;
+}
+
+/// Applies the results of all attempts that have ended, up to the first answer.
+void collect_results(gateway_state& state, caller_connection& caller, call& it, call_progress& progress) {
+    for (auto at = it.running.begin(); at != it.running.end() && !it.response;) {
+        if (!(*at)->result) {
+            ++at;
+            continue;
+        }
+        auto result = std::move(*(*at)->result);
+        progress.last_endpoint = (*at)->placed.entry.id;
+        at = it.running.erase(at);
+        apply_result(state, caller, it, progress, std::move(result));
     }
-    progress->may_have_run = progress->may_have_run || result.outcome != attempt_outcome::not_run;
-    co_return false;
+}
+
+bool waits_in_queue(gateway_state& state, const call& it) {
+    const std::lock_guard guard(state.endpoints.mutex);
+    return std::any_of(it.running.begin(), it.running.end(), [](const auto& one) {
+        return traffic::reported_queue_since(*one->placed.endpoint, one->sent_at);
+    });
+}
+
+void log_second_attempt(gateway_state& state, const call& it, const call_progress& progress) {
+    if (!may_log(state)) {
+        return;
+    }
+    common::log_info("second_attempt",
+                     {field("request_id", to_view(it.request[state.options.headers.request_id])),
+                      field("attempts", progress.tried.size()),
+                      field("decision", traffic::second_attempt_name(*progress.last_decision)),
+                      field("retries_left", retries_left(state, progress.admitted.service)),
+                      field("stopping", state.stopping.load())});
+}
+
+/// Decides about a second attempt for an overdue request, and places it if it is to be sent. The running
+/// attempt goes on, so that nothing is given up for an attempt that may fail.
+std::optional<placed_call> place_second_attempt(gateway_state& state, const call& it,
+                                                call_progress& progress) {
+    const auto& admitted = progress.admitted;
+    const auto now = monotonic::now();
+    auto decision =
+        traffic::decide_second_attempt({.idempotent = admitted.route->idempotent,
+                                        .stopping = state.stopping,
+                                        .attempts = static_cast<int>(progress.tried.size()),
+                                        .attempt_limit = admitted.route->attempt_limit,
+                                        .waits_in_queue = waits_in_queue(state, it),
+                                        .has_spare_budget = has_retry_headroom(state, admitted.service),
+                                        .target_latency = admitted.route->target_latency,
+                                        .response_deadline = admitted.response_deadline},
+                                       now);
+    std::optional<placed_call> placed;
+    if (decision == traffic::second_attempt::send) {
+        placed = place_call(state, admitted, progress.tried, slot_wait::excluded);
+        if (!placed) {
+            decision = traffic::second_attempt::no_endpoint;
+        } else if (!take_retry(state, admitted.service)) {
+            decision = traffic::second_attempt::retry_budget;
+            placed.reset();
+        }
+    }
+    progress.decision_due = traffic::may_change(decision)
+                                ? now + std::max(min_decision_interval, admitted.route->target_latency)
+                                : common::time_point::max();
+    if (progress.last_decision != decision) {
+        progress.last_decision = decision;
+        log_second_attempt(state, it, progress);
+    }
+    return placed;
+}
+
+/// Waits until the request is answered or all its attempts have failed; sends a second one meanwhile when the
+/// answer is overdue.
+awaitable<void> wait_for_answer(gateway_state& state, caller_ptr caller, call_ptr it, progress_ptr progress) {
+    collect_results(state, *caller, *it, *progress);
+    while (!it->response && !it->running.empty()) {
+        if (!it->abandoned && monotonic::now() >= progress->decision_due) {
+            if (auto placed = place_second_attempt(state, *it, *progress)) {
+                common::count(state.metrics, "second_attempts");
+                common::count(state.metrics, "second_sendings");
+                start_attempt(state, caller, it, progress, std::move(*placed));
+            }
+        }
+        co_await wait_until(progress->timer, progress->decision_due);
+        collect_results(state, *caller, *it, *progress);
+    }
+    for (const auto& one : it->running) {
+        cancel_attempt(*one, cancel_reason::answered_by_other);
+    }
+    it->running.clear();
 }
 
 /// Whether this host is stopping and can't expect the answer before its end.
@@ -183,25 +292,12 @@
 }
 
 /// Makes attempts until one succeeds, no retry is allowed or the caller disconnects; then sets the response.
-awaitable<void> run_attempts(gateway_state& state, caller_ptr caller, call_ptr it,
-                             std::shared_ptr<call_progress> progress) {
-    while (!it->abandoned) {
-        auto placed = place_call(state, progress->admitted, progress->tried);
-        if (!placed) {
-            if (!progress->tried.empty()) {
-                log_retry_refused(state, *it, *progress, "no_endpoint");
-            }
-            break;
-        }
-        const bool answered = co_await run_attempt(state, caller, it, progress, std::move(*placed));
-        if (answered || it->abandoned) {
-            break;
-        }
-        if (const auto why = acquire_retry(state, *progress); !why.empty()) {
-            log_retry_refused(state, *it, *progress, why);
-            break;
-        }
-        common::count(state.metrics, "second_sendings");
+awaitable<void> run_attempts(gateway_state& state, caller_ptr caller, call_ptr it, progress_ptr progress) {
+    auto placed = place_call(state, progress->admitted, progress->tried, slot_wait::allowed);
+    while (placed && !it->abandoned) {
+        start_attempt(state, caller, it, progress, std::move(*placed));
+        co_await wait_for_answer(state, caller, it, progress);
+        placed = it->response || it->abandoned ? std::nullopt : place_retry(state, *it, *progress);
     }
     const bool may_have_run = progress->may_have_run || progress->error_response || it->response;
     if (!may_have_run && (!it->abandoned || progress->tried.empty())) {
@@ -226,7 +322,7 @@
     if (const auto* why = std::get_if<refusal>(&decision)) {
         refuse(state, *caller, *pending, *why, nullptr);
     } else {
-        const auto progress = std::make_shared<call_progress>();
+        const auto progress = std::make_shared<call_progress>(caller->strand);
         progress->admitted = std::move(std::get<admitted_call>(decision));
         if (is_too_late(state, progress->admitted)) {
             refuse(state, *caller, *pending, {.reason = "stopping", .retry_after = stop_retry_after},
@@ -247,8 +343,8 @@
 
 void abandon_call(call& pending) {
     pending.abandoned = true;
-    if (pending.active_connection) {
-        cancel_exchange(pending.active_connection);
+    for (const auto& one : pending.running) {
+        cancel_attempt(*one, cancel_reason::caller_left);
     }
 }
 
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -202,6 +202,8 @@
 }
 
 void note_report(endpoint_state& endpoint, const load_report& report, common::time_point now) {
+    endpoint.last_report = report;
+    endpoint.last_report_at = now;
     // The report no longer counts the answered request, but `in_flight` does.
     const double seen = std::max(0, report.running + report.waiting - std::max(0, endpoint.in_flight - 1));
     if (!endpoint.external) {
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -58,6 +58,9 @@
     int in_flight{0};
     /// Empty until the first load report.
     std::optional<external_load> external;
+    load_report last_report;
+    /// When it arrived; the epoch if there was none.
+    common::time_point last_report_at;
     /// While requests are in flight: since when none of them has been answered.
     std::optional<common::time_point> silent_since;
     /// Consecutive failed attempts since the last successful one.
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -97,8 +97,9 @@
 }
 
 const candidate* choose_candidate(std::span<candidate> all, const placement_request& request) {
+    const double max_load = request.needs_free_slot ? max_fallback_load : max_queueing_load;
     if (request.object_key.empty()) {
-        return least_loaded(all, max_queueing_load);
+        return least_loaded(all, max_load);
     }
     const auto ranks = std::min(preferred_endpoints_per_object, all.size());
     std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(ranks), all.end(),
@@ -110,7 +111,7 @@
     if (const auto* free = first_with_free_slot(preferred)) {
         return free;
     }
-    if (const auto* short_wait = least_loaded(preferred, max_queueing_load)) {
+    if (const auto* short_wait = least_loaded(preferred, max_load)) {
         return short_wait;
     }
     return least_loaded(all, max_fallback_load);
