Count a request as in flight until its answer is written

A host that stops ended its workers 100 ms after the last request was served, though the answer may still have been on its way to a caller that reads slowly: the caller got a part of it. The count now ends when the answer is written or the connection is closed, within the time of the stop.

--- a/source/core/gateway/call.h
+++ b/source/core/gateway/call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -10,6 +11,24 @@
 
 struct running_attempt;
 
+/// Counts a request as in flight for as long as the mark exists.
+struct in_flight_mark {
+    explicit in_flight_mark(std::atomic<int>& requests) : count(&requests) {
+        ++*count;
+    }
+
+    in_flight_mark(const in_flight_mark&) = delete;
+    in_flight_mark& operator=(const in_flight_mark&) = delete;
+    in_flight_mark(in_flight_mark&&) = delete;
+    in_flight_mark& operator=(in_flight_mark&&) = delete;
+
+    ~in_flight_mark() {
+        --*count;
+    }
+
+    std::atomic<int>* count;
+};
+
 /// One request of a caller, from its arrival to its response. Accessed only on the strand of the caller's
 /// connection.
 struct call {
@@ -20,6 +39,7 @@
     bool abandoned{false};
     /// The attempts that have not ended, oldest first.
     std::vector<std::shared_ptr<running_attempt>> running;
+    std::unique_ptr<in_flight_mark> in_flight;
     /// Final response; empty while the request is served.
     std::optional<response_message> response;
 };
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -210,7 +210,7 @@
         }
         it->closing = !read->request.keep_alive();
         add_call(*it, read);
-        ++state.requests_in_flight;
+        read->in_flight = std::make_unique<in_flight_mark>(state.requests_in_flight);
         net::co_spawn(it->strand, serve_call(state, it, read), net::detached);
     }
     co_await drain_input(*it);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -143,6 +143,9 @@
 
     gateway_options options;
     common::time_point started_at{common::monotonic::now()};
+    /// Requests in flight: read from callers, until the response is written or the connection is closed.
+    /// Outlives `io`, whose handlers may hold requests.
+    std::atomic<int> requests_in_flight{0};
     net::io_context io;
     routing_table routing;
     mirror_table mirror;
@@ -164,8 +167,6 @@
     std::atomic<common::boot_clock::rep> registered_until{0};
     /// Open connections of callers.
     std::atomic<int> open_callers{0};
-    /// Requests in flight: read from callers and not finished.
-    std::atomic<int> requests_in_flight{0};
 };
 
 /// The configuration in force; null until there is one.
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -327,7 +327,6 @@
         if (is_too_late(state, progress->admitted)) {
             refuse(state, *caller, *pending, {.reason = "stopping", .retry_after = stop_retry_after},
                    progress.get());
-            --state.requests_in_flight;
             co_return;
         }
         const auto retry_after = co_await acquire_rate_token(state, progress->admitted);
@@ -338,7 +337,6 @@
             co_await run_attempts(state, caller, pending, progress);
         }
     }
-    --state.requests_in_flight;
 }
 
 void abandon_call(call& pending) {
--- a/source/unit_tests/gateway/scripted_endpoint.cpp
+++ b/source/unit_tests/gateway/scripted_endpoint.cpp
@@ -184,8 +184,8 @@
             endless(chunked, "1;x=" + filler.substr(0, 1000) + "\r\na\r\n")};
 }
 
-std::string send_and_read(const std::string& address, const std::string& bytes, const std::string& until,
-                          int timeout_ms) {
+std::string send_parts_and_read(const std::string& address, std::span<const std::string> parts,
+                                std::chrono::milliseconds pause, const std::string& until, int timeout_ms) {
     const auto where = transport::split_address(address);
     sockaddr_in target{};
     target.sin_family = AF_INET;
@@ -194,9 +194,15 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     std::string input;
     if (connect(fd, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0) {
-        send_all(fd, bytes);
+        for (std::size_t n = 0; n < parts.size(); ++n) {
+            if (n > 0) {
+                std::this_thread::sleep_for(pause);
+            }
+            send_all(fd, parts[n]);
+        }
         std::array<char, 4096> buf{};
-        while (input.find(until) == std::string::npos && wait_readable(fd, timeout_ms)) {
+        while (input.find(until, input.size() < 8192 ? 0 : input.size() - 8192) == std::string::npos &&
+               wait_readable(fd, timeout_ms)) {
             const auto n = recv(fd, buf.data(), buf.size(), 0);
             if (n <= 0) {
                 break;
@@ -208,4 +214,9 @@
     return input;
 }
 
+std::string send_and_read(const std::string& address, const std::string& bytes, const std::string& until,
+                          int timeout_ms) {
+    return send_parts_and_read(address, std::array{bytes}, {}, until, timeout_ms);
+}
+
 } // namespace lycheegap::gateway
--- a/source/unit_tests/gateway/scripted_endpoint.h
+++ b/source/unit_tests/gateway/scripted_endpoint.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -76,4 +78,10 @@
 std::string send_and_read(const std::string& address, const std::string& bytes, const std::string& until,
                           int timeout_ms = 5000);
 
+/// Like `send_and_read`, but sends the parts with a pause before each one after the first. Nothing is read
+/// before the last part is sent.
+std::string send_parts_and_read(const std::string& address, std::span<const std::string> parts,
+                                std::chrono::milliseconds pause, const std::string& until,
+                                int timeout_ms = 5000);
+
 } // namespace lycheegap::gateway
