Answer a request of which a stopping host has read a part

A stop closed each connection without a request in flight as idle, also one whose next request had begun to arrive. That request was then read and dropped: its caller saw a closed connection and no answer. Such a connection now stays open for this one request, and closes after its answer.

--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -132,6 +132,7 @@
     if (it.input.size() == 0) {
         co_await it.socket.async_wait(tcp::socket::wait_read, keep_error(ec));
     }
+    it.reading = !ec;
     set_io_deadline(it, limits.head_time);
     caller_parser parser;
     parser.header_limit(limits.head_bytes);
@@ -198,6 +199,7 @@
         }
         const auto read = co_await read_call(state, *it);
         clear_io_deadline(*it);
+        it->reading = false;
         if (!read || it->closing || it->closed) {
             // A request read after the connection began to close is not served.
             break;
@@ -208,7 +210,7 @@
             abort_connection(*it);
             break;
         }
-        it->closing = !read->request.keep_alive();
+        it->closing = it->closes_after_reading || !read->request.keep_alive();
         add_call(*it, read);
         read->in_flight = std::make_unique<in_flight_mark>(state.requests_in_flight);
         net::co_spawn(it->strand, serve_call(state, it, read), net::detached);
@@ -331,7 +333,7 @@
 /// request is in flight.
 void close_if_stale(const caller_ptr& it, bool close_idle) {
     const bool overdue = is_overdue(*it, monotonic::now());
-    const bool unused = close_idle && it->calls.empty() && !it->closing;
+    const bool unused = close_idle && it->calls.empty() && !it->closing && !it->reading;
     if (!it->closed && unused) {
         // The reader goes on, to discard input that the caller sent before it noticed the close.
         it->closing = true;
@@ -369,7 +371,12 @@
     for (const auto& it : open_callers(state)) {
         net::post(it->strand, [it] {
             close_if_stale(it, true);
-            // A caller repeats what it sent behind a response that closes the connection.
+            // A caller repeats what it sent behind a response that closes the connection, but not a request
+            // of which this host has read a part.
+            if (it->reading && it->calls.empty()) {
+                it->closes_after_reading = true;
+                return;
+            }
             it->closing = true;
             signal_change(*it);
         });
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -25,6 +25,10 @@
     net::steady_timer change_signal;
     /// No further request is read; the connection closes after the last response.
     bool closing{false};
+    /// Input of a request has arrived that has not been read in full.
+    bool reading{false};
+    /// The request that is being read is the last one of the connection.
+    bool closes_after_reading{false};
     /// The socket is closed.
     bool closed{false};
     /// No request is in flight.
