Believe an endpoint's report of a queue only while it is recent

A report that requests wait kept an overdue read at its endpoint until the response was due, though the endpoint may have stopped right after it, or the answer may have been lost. A report now counts for one second, and the queue is waited for no longer than the time after which the answer is overdue.

--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -190,8 +190,8 @@
 
 bool waits_in_queue(gateway_state& state, const call& it) {
     const std::lock_guard guard(state.endpoints.mutex);
-    return std::any_of(it.running.begin(), it.running.end(), [](const auto& one) {
-        return traffic::reported_queue_since(*one->placed.endpoint, one->sent_at);
+    return std::any_of(it.running.begin(), it.running.end(), [now = monotonic::now()](const auto& one) {
+        return traffic::reported_queue_since(*one->placed.endpoint, one->sent_at, now);
     });
 }
 
@@ -221,6 +221,7 @@
                                         .waits_in_queue = waits_in_queue(state, it),
                                         .has_spare_budget = has_retry_headroom(state, admitted.service),
                                         .target_latency = admitted.route->target_latency,
+                                        .sent_at = it.running.back()->sent_at,
                                         .response_deadline = admitted.response_deadline},
                                        now);
     std::optional<placed_call> placed;
--- a/source/core/traffic/second_attempt.cpp
+++ b/source/core/traffic/second_attempt.cpp
@@ -10,6 +10,8 @@
 // may wait for a slot before.
 constexpr int overdue_factor = 3;
 constexpr common::milliseconds min_overdue{800};
+// An endpoint that has stopped since its last report must not be waited for as one that queues.
+constexpr common::milliseconds queue_report_validity{1000};
 
 } // namespace
 
@@ -30,7 +32,9 @@
     if (now + request.target_latency > request.response_deadline) {
         return second_attempt::too_late;
     }
-    if (request.waits_in_queue) {
+    // A response that was lost does not come however long the queue is waited for.
+    const auto overdue = overdue_at(request.sent_at, request.target_latency);
+    if (request.waits_in_queue && now < overdue + (overdue - request.sent_at)) {
         return second_attempt::waits_in_queue;
     }
     return request.has_spare_budget ? second_attempt::send : second_attempt::retry_budget;
@@ -41,8 +45,10 @@
            decision == second_attempt::no_endpoint;
 }
 
-bool reported_queue_since(const endpoint_state& endpoint, common::time_point sent_at) {
-    return endpoint.last_report_at > sent_at && endpoint.last_report.waiting > 0;
+bool reported_queue_since(const endpoint_state& endpoint, common::time_point sent_at,
+                          common::time_point now) {
+    return endpoint.last_report_at > sent_at && now - endpoint.last_report_at <= queue_report_validity &&
+           endpoint.last_report.waiting > 0;
 }
 
 std::string_view second_attempt_name(second_attempt decision) {
--- a/source/core/traffic/second_attempt.h
+++ b/source/core/traffic/second_attempt.h
@@ -27,6 +27,8 @@
     /// More than half of the retry budget is left.
     bool has_spare_budget{false};
     common::milliseconds target_latency{0};
+    /// Of the last attempt.
+    common::time_point sent_at;
     /// No answer is due later than this.
     common::time_point response_deadline;
 };
@@ -50,8 +52,8 @@
 /// Whether the decision can change while the request is pending.
 bool may_change(second_attempt decision);
 
-/// Whether requests wait at the endpoint, by a report that it sent after `sent_at`.
-bool reported_queue_since(const endpoint_state& endpoint, common::time_point sent_at);
+/// Whether requests wait at the endpoint, by a recent report that it sent after `sent_at`.
+bool reported_queue_since(const endpoint_state& endpoint, common::time_point sent_at, common::time_point now);
 
 /// Name of an enumerator, for logs.
 std::string_view second_attempt_name(second_attempt decision);
--- a/source/unit_tests/traffic/second_attempt_test.cpp
+++ b/source/unit_tests/traffic/second_attempt_test.cpp
@@ -17,6 +17,7 @@
             .attempt_limit = 2,
             .has_spare_budget = true,
             .target_latency = milliseconds(400),
+            .sent_at = sent_at,
             .response_deadline = sent_at + milliseconds(3000)};
 }
 
@@ -57,14 +58,26 @@
 }
 
 TEST_CASE("an endpoint counts as queueing only by a report that it sent after the request") {
+    const auto now = sent_at + milliseconds(500);
     endpoint_state endpoint;
-    CHECK_FALSE(reported_queue_since(endpoint, sent_at));
+    CHECK_FALSE(reported_queue_since(endpoint, sent_at, now));
     note_report(endpoint, {6, 3}, sent_at - milliseconds(1));
-    CHECK_FALSE(reported_queue_since(endpoint, sent_at));
+    CHECK_FALSE(reported_queue_since(endpoint, sent_at, now));
     note_report(endpoint, {6, 0}, sent_at + milliseconds(1));
-    CHECK_FALSE(reported_queue_since(endpoint, sent_at));
+    CHECK_FALSE(reported_queue_since(endpoint, sent_at, now));
     note_report(endpoint, {6, 1}, sent_at + milliseconds(2));
-    CHECK(reported_queue_since(endpoint, sent_at));
+    CHECK(reported_queue_since(endpoint, sent_at, now));
+}
+
+TEST_CASE("a queue is waited for no longer than its endpoint reports it, and not until the response is due") {
+    endpoint_state endpoint;
+    note_report(endpoint, {6, 3}, sent_at + milliseconds(100));
+    CHECK(reported_queue_since(endpoint, sent_at, sent_at + milliseconds(1100)));
+    CHECK_FALSE(reported_queue_since(endpoint, sent_at, sent_at + milliseconds(1101)));
+    auto request = sendable();
+    request.waits_in_queue = true;
+    CHECK(decide_second_attempt(request, sent_at + milliseconds(2399)) == second_attempt::waits_in_queue);
+    CHECK(decide_second_attempt(request, sent_at + milliseconds(2400)) == second_attempt::send);
 }
 
 } // namespace lycheegap::traffic
