Place a retry only if the budget allows it, and give back no token never taken

A placement at a cold endpoint counts against its limit, so a retry that was placed and then refused by the budget used the limit up in vain. A request whose team was over its rate and whose caller had left gave a rate token back that it had never taken. While the cancelled attempts of a caller that had left came to their end, the wait for them returned at once and again. All three by reading, without a test of their own.

--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -126,18 +126,23 @@
 
 /// Places a retry after all attempts have failed, and takes it from the retry budget; empty if there is none.
 std::optional<placed_call> place_retry(gateway_state& state, const call& it, const call_progress& progress) {
-    if (const auto why = retry_obstacle(progress); !why.empty()) {
+    const auto refused = [&](std::string_view why) {
         log_retry_refused(state, it, progress, why);
         return std::nullopt;
+    };
+    if (const auto why = retry_obstacle(progress); !why.empty()) {
+        return refused(why);
+    }
+    // A placement at a cold endpoint counts against its limit, so it must not be made in vain.
+    if (retries_left(state, progress.admitted.service) < 1) {
+        return refused("retry_budget");
     }
     auto placed = place_call(state, progress.admitted, progress.tried, slot_wait::allowed);
     if (!placed) {
-        log_retry_refused(state, it, progress, "no_endpoint");
-        return std::nullopt;
+        return refused("no_endpoint");
     }
     if (!take_retry(state, progress.admitted.service)) {
-        log_retry_refused(state, it, progress, "retry_budget");
-        return std::nullopt;
+        return refused("retry_budget");
     }
     common::count(state.metrics, "second_sendings");
     return placed;
@@ -249,7 +254,9 @@
 awaitable<void> wait_for_answer(gateway_state& state, caller_ptr caller, call_ptr it, progress_ptr progress) {
     collect_results(state, *caller, *it, *progress);
     while (!it->response && !it->running.empty()) {
-        if (!it->abandoned && monotonic::now() >= progress->decision_due) {
+        if (it->abandoned) {
+            progress->decision_due = common::time_point::max();
+        } else if (monotonic::now() >= progress->decision_due) {
             if (auto placed = place_second_attempt(state, *it, *progress)) {
                 common::count(state.metrics, "second_attempts");
                 common::count(state.metrics, "second_sendings");
@@ -331,7 +338,10 @@
             co_return;
         }
         const auto retry_after = co_await acquire_rate_token(state, progress->admitted);
-        if (retry_after && !pending->abandoned) {
+        if (retry_after && pending->abandoned) {
+            common::count(state.metrics, "requests_abandoned");
+            log_call(state, *pending, progress.get(), "abandoned");
+        } else if (retry_after) {
             refuse(state, *caller, *pending,
                    {.status = status_too_many, .reason = "rate", .retry_after = retry_after}, progress.get());
         } else {
