Remember that an endpoint was silent when another one answered in its place

The attempt that lost was cancelled, and with no request in flight the silence of its endpoint was forgotten: a frozen endpoint looked idle and became the first choice for the next request. It now counts as a failure, after which other endpoints are preferred for a while. A second attempt goes to no endpoint that is avoided for such a reason: it would be the request's last.

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -132,17 +132,22 @@
 }
 
 /// Updates the load and failure statistics of the endpoint.
-void record_result(gateway_state& state, traffic::endpoint_state& endpoint, const attempt_result& result,
+void record_result(gateway_state& state, const running_attempt& it, const attempt_result& result,
                    const std::optional<traffic::load_report>& report, exchange_outcome outcome) {
     const auto now = monotonic::now();
+    auto& endpoint = *it.placed.endpoint;
     const std::lock_guard guard(state.endpoints.mutex);
     if (report) {
         traffic::note_report(endpoint, *report, now);
     }
+    // Without requests in flight its silence would be forgotten, and a frozen endpoint would look idle.
+    const bool lost_while_silent =
+        it.cancelled == cancel_reason::answered_by_other && traffic::is_silent_since(endpoint, it.sent_at);
     traffic::note_ended(endpoint, outcome == exchange_outcome::answered, now);
     if (result.outcome == attempt_outcome::answered) {
         traffic::note_success(endpoint);
-    } else if (outcome != exchange_outcome::cancelled && outcome != exchange_outcome::timed_out) {
+    } else if (lost_while_silent ||
+               (outcome != exchange_outcome::cancelled && outcome != exchange_outcome::timed_out)) {
         traffic::note_failure(endpoint, now);
     }
 }
@@ -232,7 +237,7 @@
     const auto outcome = exchange.outcome;
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
     auto result = classify_result(state.options.headers, std::move(exchange));
-    record_result(state, *it->placed.endpoint, result, report, outcome);
+    record_result(state, *it, result, report, outcome);
     log_attempt_failed(state, *pending, admitted.service, *it, result);
     co_return result;
 }
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -234,6 +234,10 @@
     }
 }
 
+bool is_silent_since(const endpoint_state& endpoint, common::time_point sent_at) {
+    return endpoint.silent_since && *endpoint.silent_since <= sent_at;
+}
+
 void note_success(endpoint_state& endpoint) {
     endpoint.consecutive_failures = 0;
     endpoint.avoided_until = {};
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -144,6 +144,10 @@
 /// Records that a request is no longer in flight; `answered`: the endpoint answered it.
 void note_ended(endpoint_state& endpoint, bool answered, common::time_point now);
 
+/// Whether the endpoint has answered nothing since `sent_at`. Call it before `note_ended` for a request sent
+/// then.
+bool is_silent_since(const endpoint_state& endpoint, common::time_point sent_at);
+
 /// Records a successful attempt: the endpoint is no longer avoided.
 void note_success(endpoint_state& endpoint);
 
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -68,8 +68,11 @@
         if (!may_serve(set, *it, request) || (is_cold(*it, now) && cold_room(*it, request, now) < 1)) {
             continue;
         }
-        found.push_back(
-            {it, rendezvous_rank(*it, request), estimated_load(*it, now), is_avoided(*it, request, now)});
+        const bool avoided = is_avoided(*it, request, now);
+        if (avoided && request.needs_free_slot) {
+            continue;
+        }
+        found.push_back({it, rendezvous_rank(*it, request), estimated_load(*it, now), avoided});
     }
     return found;
 }
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -24,7 +24,7 @@
     membership_knowledge knowledge;
     /// Response time that callers expect; 0 if the route states none.
     common::milliseconds target_latency{0};
-    /// The request must not wait at the endpoint: only one with a free slot will do.
+    /// The request must not wait at the endpoint: only one with a free slot that is not avoided will do.
     bool needs_free_slot{false};
     /// Requests per second that a cold endpoint may get from the whole fleet.
     double cold_limit{0};
--- a/source/unit_tests/gateway/second_attempt_test.cpp
+++ b/source/unit_tests/gateway/second_attempt_test.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -119,7 +120,7 @@
     std::string answer;
     std::thread caller([&] { answer = read_once(host); });
     while (queueing.heads().empty()) {
-        std::this_thread::yield();
+        std::this_thread::sleep_for(milliseconds(1));
     }
     send_and_read(host.address(), request_text("/read/1", "q2"), "{}");
     host.use(queueing, "e2");
@@ -136,7 +137,7 @@
     send_and_read(host.address(), patient_request_text("/patient/1", "q1"), "done", overdue_ms + 300);
     const auto due = common::monotonic::now() + milliseconds(600);
     while (slow.closed_early < 2 && common::monotonic::now() < due) {
-        std::this_thread::yield();
+        std::this_thread::sleep_for(milliseconds(1));
     }
     CHECK(slow.heads().size() == 2);
     CHECK(slow.closed_early == 2);
@@ -152,11 +153,35 @@
     CHECK(answer.starts_with("HTTP/1.1 200"));
     const auto due = common::monotonic::now() + milliseconds(600);
     while (endpoint.closed_early < 1 && common::monotonic::now() < due) {
-        std::this_thread::yield();
+        std::this_thread::sleep_for(milliseconds(1));
     }
     CHECK(endpoint.closed_early == 1);
-    CHECK(host.running->state->endpoints.set.by_id.at("e1")->in_flight == 0);
-    CHECK(host.running->state->endpoints.set.by_id.at("e2")->in_flight == 0);
+}
+
+TEST_CASE("an endpoint that was silent while another one answered is avoided at first") {
+    std::atomic<int> arrived{0};
+    scripted_endpoint endpoint([&](const auto&) { return answer_after(arrived++ == 0 ? 3000 : 0); });
+    const test_host host;
+    host.use(endpoint, "e1");
+    host.use(endpoint, "e2");
+    CHECK(send_and_read(host.address(), patient_request_text("/patient/1", "q1"), "done")
+              .starts_with("HTTP/1.1 200"));
+    const auto avoided_and_idle = [&] {
+        auto& table = host.running->state->endpoints;
+        const std::lock_guard guard(table.mutex);
+        int avoided = 0;
+        int in_flight = 0;
+        for (const auto& [id, it] : table.set.by_id) {
+            avoided += it->consecutive_failures;
+            in_flight += it->in_flight;
+        }
+        return avoided == 1 && in_flight == 0;
+    };
+    const auto due = common::monotonic::now() + milliseconds(2000);
+    while (!avoided_and_idle() && common::monotonic::now() < due) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(avoided_and_idle());
 }
 
 } // namespace lycheegap::gateway
--- a/source/unit_tests/traffic/placement_test.cpp
+++ b/source/unit_tests/traffic/placement_test.cpp
@@ -74,6 +74,25 @@
     CHECK(used.size() >= 10);
 }
 
+TEST_CASE("a request that must not wait goes only to an endpoint with a free slot that is not avoided") {
+    for (const auto* object : {"", "object"}) {
+        CAPTURE(object);
+        auto set = make_set(2);
+        auto request = make_request(object);
+        request.needs_free_slot = true;
+        const auto first = place_request(set, request, start);
+        REQUIRE(first != nullptr);
+        first->in_flight = 6;
+        const auto second = place_request(set, request, start);
+        REQUIRE(second != nullptr);
+        CHECK(second != first);
+        note_failure(*second, start);
+        CHECK(place_request(set, request, start) == nullptr);
+        request.needs_free_slot = false;
+        CHECK(place_request(set, request, start) != nullptr);
+    }
+}
+
 TEST_CASE(
     "an overloaded endpoint is passed over for the second preferred one, then for any with spare capacity") {
     auto set = make_set(6);
