Heed what endpoints say in their answers: that they leave, or want a rest

An endpoint that leaves now says so in all its answers, and one that turns a request away may ask for rest with Retry-After. Nothing read either: the host knew of a leave only from the store's entry, and sent on to an endpoint that had asked for rest.

Both are facts about one start of an endpoint. Entries, lapses and returns do not undo them; placements leave such endpoints out, and a request that was placed before asks once more when its connection is open. A request that no endpoint can take because all of them rest is refused with the end of the first rest, spread by request id. Rests are bounded; one that is no number is logged and ignored.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <numeric>
 
+#include "core/common/digest.h"
 #include "core/traffic/placement.h"
 #include "message_headers.h"
 
@@ -160,8 +161,24 @@
                                            monotonic::now());
 }
 
-common::milliseconds suggested_retry_after(const admitted_call& admitted) {
-    return std::max(min_retry_after, admitted.route->target_latency / retry_after_divisor);
+common::milliseconds suggested_retry_after(gateway_state& state, const admitted_call& admitted,
+                                           std::string_view request_id) {
+    const auto room_expected =
+        std::max(min_retry_after, admitted.route->target_latency / retry_after_divisor);
+    traffic::placement_request wanted;
+    wanted.service = admitted.service;
+    wanted.regions = admitted.regions;
+    const auto now = monotonic::now();
+    std::optional<common::time_point> rest_end;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        rest_end = traffic::first_rest_end(state.endpoints.set, wanted, now);
+    }
+    if (!rest_end) {
+        return room_expected;
+    }
+    const auto spread = common::stable_hash(request_id) % static_cast<std::uint64_t>(room_expected.count());
+    return std::chrono::ceil<milliseconds>(*rest_end - now) + milliseconds{static_cast<std::int64_t>(spread)};
 }
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -68,7 +68,9 @@
 /// Whether more than half of the service's retry budget is left.
 bool has_retry_headroom(gateway_state& state, std::string_view service);
 
-/// Time after which a refused caller should retry.
-common::milliseconds suggested_retry_after(const admitted_call& admitted);
+/// Time after which a refused caller should retry. While endpoints that could serve the request rest, it ends
+/// after the first rest, at a time that differs between requests.
+common::milliseconds suggested_retry_after(gateway_state& state, const admitted_call& admitted,
+                                           std::string_view request_id);
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -87,6 +87,38 @@
     close_on_strand(it);
 }
 
+/// Whether the endpoint still wants requests: it may have said otherwise since the placement.
+bool wants_requests(gateway_state& state, const traffic::endpoint_state& endpoint) {
+    bool wanted = false;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        wanted = !endpoint.wishes.leaving && !traffic::is_resting(endpoint, monotonic::now());
+    }
+    if (!wanted) {
+        common::count(state.metrics, "requests_withheld");
+    }
+    return wanted;
+}
+
+/// Applies what the head of a response says about its endpoint. A misdirected request was answered by another
+/// endpoint, which has taken over the address.
+void note_response_head(gateway_state& state, const traffic::endpoint_ptr& endpoint,
+                        const http::response_header<>& head) {
+    if (head.result_int() == status_misdirected || head.find(state.options.headers.leaving) == head.end()) {
+        return;
+    }
+    bool is_news = false;
+    std::string id;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        is_news = traffic::note_leaving(*endpoint);
+        id = endpoint->entry.id;
+    }
+    if (is_news) {
+        common::log_info("endpoint_leaving", {field("endpoint", id), field("source", "answer")});
+    }
+}
+
 std::shared_ptr<exchange_request> make_exchange_request(gateway_state& state, const call& it,
                                                         const admitted_call& admitted,
                                                         const placed_call& placed) {
@@ -99,6 +131,12 @@
     if (placed.basis.is_cold) {
         made->send_deadline = placed.basis.placed_at + traffic::cold_sending_time;
     }
+    made->may_send = [&state, endpoint = placed.endpoint] { return wants_requests(state, *endpoint); };
+    if (!names.leaving.empty()) {
+        made->on_head = [&state, endpoint = placed.endpoint](const http::response_header<>& head) {
+            note_response_head(state, endpoint, head);
+        };
+    }
     made->id_header = names.request_id;
     made->memory_budget = &state.response_memory;
     const auto left = std::chrono::duration_cast<milliseconds>(admitted.response_deadline - now);
@@ -152,6 +190,33 @@
     }
 }
 
+/// Grants the rest that an endpoint asks for when it turns a request away.
+void note_requested_rest(gateway_state& state, traffic::endpoint_state& endpoint,
+                         const response_message& response) {
+    if (response.result() != http::status::service_unavailable ||
+        response.find(http::field::retry_after) == response.end()) {
+        return;
+    }
+    const auto length = parse_retry_after(response);
+    std::string id;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        id = endpoint.entry.id;
+        if (length) {
+            traffic::note_rest(endpoint, *length, monotonic::now());
+        }
+    }
+    if (length) {
+        common::count(state.metrics, "endpoint_rests");
+        common::log_info("endpoint_resting", {field("endpoint", id), field("ms", length->count())});
+    } else {
+        common::log_warning(
+            "endpoint_rest_unreadable",
+            {field("endpoint", id),
+             field("retry_after", to_view(response[http::field::retry_after]).substr(0, 40))});
+    }
+}
+
 /// Logs an attempt with its deadline and the basis of its placement: whether the endpoint was considered
 /// cold, the source and age of that state, and the age of the fleet view.
 void log_attempt_sent(gateway_state& state, const call& pending, const running_attempt& it) {
@@ -235,6 +300,7 @@
         return_to_pool(state, it->placed.entry, connection);
     }
     const auto outcome = exchange.outcome;
+    note_requested_rest(state, *it->placed.endpoint, exchange.response);
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
     auto result = classify_result(state.options.headers, std::move(exchange));
     record_result(state, *it, result, report, outcome);
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -184,6 +184,9 @@
         parser.skip(request.message.method() == http::verb::head);
         error_code ec;
         co_await http::async_read_header(connection->stream, connection->input, parser, keep_error(ec));
+        if (!ec && request.on_head) {
+            request.on_head(parser.get().base());
+        }
         const auto owner = ec ? response_owner::unknown : owner_of(*connection, request, parser.get().base());
         if (!ec && owner == response_owner::other_request) {
             // A stray response without end would block this request.
@@ -240,6 +243,11 @@
         close(*connection);
         co_return unanswered(exchange_outcome::not_sent, "send deadline passed", exchange_end::send_deadline);
     }
+    if (request->may_send && !request->may_send()) {
+        close(*connection);
+        co_return unanswered(exchange_outcome::not_sent, "the endpoint wants no request",
+                             exchange_end::withheld);
+    }
     connection->stream.expires_at(request->deadline);
     ++connection->requests_sent;
     const auto write = std::make_shared<request_write>();
@@ -282,6 +290,8 @@
         return "connect_deadline";
     case exchange_end::send_deadline:
         return "send_deadline";
+    case exchange_end::withheld:
+        return "withheld";
     case exchange_end::response_deadline:
         return "response_deadline";
     case exchange_end::cancel:
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
     endpoint,
     connect_deadline,
     send_deadline,
+    /// `may_send` returned false.
+    withheld,
     response_deadline,
     /// `cancel_exchange` was called.
     cancel,
@@ -89,6 +92,11 @@
     /// After this time the request is not sent any more; empty sets no limit. On the boot clock, which goes
     /// on while the machine is suspended.
     std::optional<common::boot_clock::time_point> send_deadline;
+    /// Asked once the connection is open; if it returns false, the request is not sent. Empty sends it.
+    std::function<bool()> may_send;
+    /// Called with the head of each response on the connection, also of those that are discarded. May be
+    /// empty.
+    std::function<void(const http::response_header<>&)> on_head;
     /// Header with the request id, which the other side echoes; empty when it echoes none.
     std::string id_header;
     /// Largest response body in bytes.
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -38,6 +38,8 @@
     std::string load;
     /// Present in an endpoint's response when it did not run the request.
     std::string not_run;
+    /// Present in all responses of an endpoint that is leaving.
+    std::string leaving;
 };
 
 /// Identity, limits and header names of this host.
--- a/source/core/gateway/message_headers.cpp
+++ b/source/core/gateway/message_headers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
+#include <cmath>
 #include <vector>
 
 namespace lycheegap::gateway {
@@ -161,6 +163,17 @@
     return out;
 }
 
+std::optional<common::milliseconds> parse_retry_after(const response_message& response) {
+    const auto text = to_view(response[http::field::retry_after]);
+    double seconds = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (ec != std::errc{} || end != text.data() + text.size() || !std::isfinite(seconds) || seconds < 0) {
+        return std::nullopt;
+    }
+    const auto longest = std::chrono::duration<double>(traffic::max_rest).count();
+    return std::chrono::ceil<common::milliseconds>(std::chrono::duration<double>(std::min(seconds, longest)));
+}
+
 std::optional<traffic::load_report> parse_load_report(const response_message& response,
                                                       std::string_view header) {
     auto rest = to_view(response[{header.data(), header.size()}]);
--- a/source/core/gateway/message_headers.h
+++ b/source/core/gateway/message_headers.h
@@ -43,6 +43,10 @@
 /// The endpoint's response as it is sent to the caller: without hop-by-hop headers.
 response_message forwarded_response(response_message response, const request_message& request);
 
+/// Time in a Retry-After header, given in seconds with an optional fraction; empty if the header is missing,
+/// malformed or negative. Capped at `traffic::max_rest`.
+std::optional<common::milliseconds> parse_retry_after(const response_message& response);
+
 /// Load that the endpoint reported in a header "RUNNING,WAITING[,...]"; empty if the header is missing or
 /// malformed.
 std::optional<traffic::load_report> parse_load_report(const response_message& response,
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -88,7 +88,7 @@
 }
 
 /// Response when no further attempt is made and no endpoint responded.
-refusal final_refusal(const call_progress& progress) {
+refusal final_refusal(gateway_state& state, const call& it, const call_progress& progress) {
     if (monotonic::now() >= progress.admitted.response_deadline) {
         return {.status = progress.may_have_run ? status_timeout : status_unavailable, .reason = "timed_out"};
     }
@@ -97,7 +97,8 @@
     }
     return {.status = status_unavailable,
             .reason = "no_endpoint",
-            .retry_after = suggested_retry_after(progress.admitted)};
+            .retry_after = suggested_retry_after(state, progress.admitted,
+                                                 to_view(it.request[state.options.headers.request_id]))};
 }
 
 /// Why no further attempt may follow a failed one; empty if one may.
@@ -318,7 +319,7 @@
         finish(state, *caller, *it, forwarded_response(std::move(*progress->error_response), it->request),
                progress.get(), "endpoint_failure");
     } else if (!it->response) {
-        refuse(state, *caller, *it, final_refusal(*progress), progress.get());
+        refuse(state, *caller, *it, final_refusal(state, *it, *progress), progress.get());
     }
 }
 
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lycheegap::traffic {
 
@@ -18,6 +19,8 @@
 constexpr common::milliseconds max_avoidance{4000};
 // Entries that expire only temporarily return within a few seconds.
 constexpr common::milliseconds former_endpoint_retention{10'000};
+// An endpoint that is leaving must not be used again when its entry returns, however late.
+constexpr common::milliseconds leaving_retention{600'000};
 // If this fraction of a failure domain's endpoints, and at least the minimum, turn cold within the window,
 // the whole domain is assumed to be affected and the updated entries of its other endpoints to be late.
 constexpr double domain_cold_fraction = 0.25;
@@ -39,20 +42,24 @@
 
 /// Keeps the state of an endpoint that is about to be removed or replaced.
 void keep_former_state(endpoint_set& set, const endpoint_state& it, common::time_point now) {
-    set.former_endpoints[it.entry.id] = {it.entry.started_unix_ms, it.cold, it.cold_requests,
-                                         std::max(now + former_endpoint_retention, it.cold.until)};
+    const auto retention = it.wishes.leaving ? leaving_retention : former_endpoint_retention;
+    set.former_endpoints[it.entry.id] = {it.entry.started_unix_ms, it.cold, it.cold_requests, it.wishes,
+                                         std::max({now + retention, it.cold.until, it.wishes.resting_until})};
 }
 
 /// Restores the state of a former endpoint with the same id. The requests sent to it always count; the cold
-/// time is restored only if the start time is the same.
+/// time and its wishes are restored only if the start time is the same.
 void restore_former_state(endpoint_set& set, endpoint_state& it, common::time_point now) {
     const auto found = set.former_endpoints.find(it.entry.id);
     if (found == set.former_endpoints.end()) {
         return;
     }
     it.cold_requests = std::move(found->second.cold_requests);
-    if (found->second.started_unix_ms == it.entry.started_unix_ms && found->second.cold.until > now) {
-        it.cold = found->second.cold;
+    if (found->second.started_unix_ms == it.entry.started_unix_ms) {
+        it.wishes = found->second.wishes;
+        if (found->second.cold.until > now) {
+            it.cold = found->second.cold;
+        }
     }
     set.former_endpoints.erase(found);
 }
@@ -189,7 +196,20 @@
 }
 
 bool accepts_work(const endpoint_set& set, const endpoint_state& endpoint) {
-    return !endpoint.entry.leaving && !set.vacated_domains.contains(endpoint.entry.domain);
+    return !endpoint.entry.leaving && !endpoint.wishes.leaving &&
+           !set.vacated_domains.contains(endpoint.entry.domain);
+}
+
+bool is_resting(const endpoint_state& endpoint, common::time_point now) {
+    return endpoint.wishes.resting_until > now;
+}
+
+bool note_leaving(endpoint_state& endpoint) {
+    return !std::exchange(endpoint.wishes.leaving, true);
+}
+
+void note_rest(endpoint_state& endpoint, common::milliseconds length, common::time_point now) {
+    endpoint.wishes.resting_until = std::max(endpoint.wishes.resting_until, now + std::min(length, max_rest));
 }
 
 double estimated_load(const endpoint_state& endpoint, common::time_point now) {
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -50,6 +50,15 @@
     common::time_point at;
 };
 
+/// What an endpoint has asked for in its answers to this host. Holds for this start of the endpoint, whatever
+/// its entry in the store says.
+struct endpoint_wishes {
+    /// It is leaving and accepts no new work.
+    bool leaving{false};
+    /// It wants no requests from this host until then.
+    common::time_point resting_until;
+};
+
 /// State of an endpoint as seen by this host.
 struct endpoint_state {
     endpoint_entry entry;
@@ -69,6 +78,8 @@
     common::time_point avoided_until;
     /// Requests that this host sent while the endpoint was cold.
     sliding_window cold_requests;
+    /// What the endpoint itself has asked for.
+    endpoint_wishes wishes;
     /// Set if its entry disappeared just after a store outage: the endpoint is removed at this time unless it
     /// registers again before.
     std::optional<common::time_point> removal_due;
@@ -82,6 +93,7 @@
     std::int64_t started_unix_ms{0};
     cold_state cold;
     sliding_window cold_requests;
+    endpoint_wishes wishes;
     /// When this state is dropped.
     common::time_point forget_at;
 };
@@ -130,6 +142,19 @@
 /// vacated.
 bool accepts_work(const endpoint_set& set, const endpoint_state& endpoint);
 
+/// Whether the endpoint has asked for rest that has not ended.
+bool is_resting(const endpoint_state& endpoint, common::time_point now);
+
+/// Records that the endpoint said it is leaving; false if that was known.
+bool note_leaving(endpoint_state& endpoint);
+
+/// Records that the endpoint wants no requests for `length`, which is limited to `max_rest`. A rest that ends
+/// later stays.
+void note_rest(endpoint_state& endpoint, common::milliseconds length, common::time_point now);
+
+/// Longest rest that an endpoint is granted.
+inline constexpr common::milliseconds max_rest{600'000};
+
 /// Estimated number of requests running and waiting at the endpoint: this host's own, plus those of other
 /// hosts by the load reports, which decay exponentially with the age of the last one.
 double estimated_load(const endpoint_state& endpoint, common::time_point now);
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -65,7 +65,8 @@
         return found;
     }
     for (const auto& it : all->second) {
-        if (!may_serve(set, *it, request) || (is_cold(*it, now) && cold_room(*it, request, now) < 1)) {
+        if (!may_serve(set, *it, request) || is_resting(*it, now) ||
+            (is_cold(*it, now) && cold_room(*it, request, now) < 1)) {
             continue;
         }
         const bool avoided = is_avoided(*it, request, now);
@@ -131,6 +132,22 @@
            static_cast<double>(count_events(endpoint.cold_requests, now, cold_window));
 }
 
+std::optional<common::time_point> first_rest_end(const endpoint_set& set, const placement_request& request,
+                                                 common::time_point now) {
+    std::optional<common::time_point> first;
+    const auto all = set.by_service.find(request.service);
+    if (all == set.by_service.end()) {
+        return first;
+    }
+    for (const auto& it : all->second) {
+        if (may_serve(set, *it, request) && is_resting(*it, now) &&
+            (!first || it->wishes.resting_until < *first)) {
+            first = it->wishes.resting_until;
+        }
+    }
+    return first;
+}
+
 endpoint_ptr place_request(endpoint_set& set, const placement_request& request, common::time_point now) {
     auto all = candidates_for(set, request, now);
     if (all.empty()) {
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,9 +34,14 @@
 /// Selects the endpoint for a request, or returns null if none has room for it. Requests for one object go to
 /// the same two endpoints from every host, by rendezvous hashing, unless these are overloaded. Without an
 /// object, the least loaded endpoint is selected. In both cases endpoints that failed recently or do not
-/// answer are considered last. If the selected endpoint is cold, the request counts against its limit.
+/// answer are considered last, and resting ones not at all. If the selected endpoint is cold, the request
+/// counts against its limit.
 endpoint_ptr place_request(endpoint_set& set, const placement_request& request, common::time_point now);
 
+/// When the first of the endpoints that could serve the request ends its rest; empty if none of them rests.
+std::optional<common::time_point> first_rest_end(const endpoint_set& set, const placement_request& request,
+                                                 common::time_point now);
+
 /// Number of requests that this host may still send to a cold endpoint in the `cold_window` that ends now; 0
 /// if it has no share of the endpoint's limit.
 double cold_room(endpoint_state& endpoint, const placement_request& request, common::time_point now);
