Let the endpoint of the queue test report its queue until the answer is overdue

A report now counts for one second only, so the single report at the begin no longer says that requests queue when the answer is overdue. The test reports three times and still demands that no second attempt is sent.

--- a/source/unit_tests/gateway/second_attempt_test.cpp
+++ b/source/unit_tests/gateway/second_attempt_test.cpp
@@ -122,11 +122,14 @@
     while (queueing.heads().empty()) {
         std::this_thread::sleep_for(milliseconds(1));
     }
-    send_and_read(host.address(), request_text("/read/1", "q2"), "{}");
+    for (const auto* id : {"q2", "q3", "q4"}) {
+        send_and_read(host.address(), request_text("/read/1", id), "{}");
+        std::this_thread::sleep_for(milliseconds(200));
+    }
     host.use(queueing, "e2");
     caller.join();
     CHECK(answer.starts_with("HTTP/1.1 200"));
-    CHECK(queueing.heads().size() == 2);
+    CHECK(queueing.heads().size() == 4);
 }
 
 TEST_CASE("both attempts of a read are cancelled when its caller disconnects") {
