--- a/source/unit_tests/gateway/scripted_endpoint.h
+++ b/source/unit_tests/gateway/scripted_endpoint.h
@@ -22,7 +22,7 @@
     /// Delay before the reply; no reply is sent when the other side closes meanwhile.
     int delay_ms{0};
     /// Sent again and again after `bytes`, until the other side closes.
-    std::string endless;
+    std::string endless{};
 };
 
 /// An HTTP endpoint for tests. A function of the request head determines each reply.
