--- a/source/unit_tests/gateway/second_attempt_test.cpp
+++ b/source/unit_tests/gateway/second_attempt_test.cpp
@@ -29,7 +29,8 @@
 }
 
 /// Replies to the first request that arrives after `slow_ms`, and to later ones with `later`.
-std::function<scripted_reply(const std::string&)> slow_then(std::atomic<int>& arrived, scripted_reply later) {
+std::function<scripted_reply(const std::string&)> slow_then(std::atomic<int>& arrived,
+                                                            const scripted_reply& later) {
     return [&arrived, later](const auto&) { return arrived++ == 0 ? answer_after(slow_ms) : later; };
 }
 
--- a/source/unit_tests/transport/endless_answer_test.cpp
+++ b/source/unit_tests/transport/endless_answer_test.cpp
@@ -49,7 +49,7 @@
     std::size_t answered = 0;
     for (std::size_t n = 0; n < calls; ++n) {
         peer_stream stream;
-        stream.reply = [&](std::optional<schema::bytes> answer) { answered += answer ? 1 : 0; };
+        stream.reply = [&](const std::optional<schema::bytes>& answer) { answered += answer ? 1 : 0; };
         stream.deadline = common::time_point::max();
         begin_call(*client, std::move(stream));
     }
