--- a/review/stand_ins/stand_in.h
+++ b/review/stand_ins/stand_in.h
@@ -239,9 +239,13 @@
     return it;
 }
 
-/// Connects within a second, as clients of the platform do; null on failure.
-inline std::unique_ptr<connection> connect_to(const std::string& address, const std::string& from = "") {
+/// Connects within a second, as clients of the platform do; null on failure. `window`: bytes of the receive buffer, 0
+/// for the system's choice.
+inline std::unique_ptr<connection> connect_to(const std::string& address, const std::string& from = "", int window = 0) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (window > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    }
     if (!from.empty()) {
         const auto own = to_address(from + ":0");
         [[maybe_unused]] const int bound = bind(fd, reinterpret_cast<const sockaddr*>(&own), sizeof own);
