--- a/review/stand_ins/settings.sh
+++ b/review/stand_ins/settings.sh
@@ -6,8 +6,8 @@
 zones=(liberia-a heredia-a limon-a)
 regions=(pacifico-norte valle-central caribe-sur)
 
-render() { # render N FOLDER: writes the settings of the host number N (0, 1, ..) to FOLDER/host-N.ini
-    local n=$1 folder=$2 z=$(($1 % 3)) ip
+render() { # render N FOLDER [STORE]: writes the settings of the host number N (0, 1, ..) to FOLDER/host-N.ini
+    local n=$1 folder=$2 store=${3:-$store} z=$(($1 % 3)) ip
     ip=$network.$((10 + n))
     sed -E -e "s/\{\{node\}\}/front-${zones[z]}-$n/; s/\{\{ip\}\}/$ip/g; s/\{\{region\}\}/${regions[z]}/; s/\{\{zone\}\}/${zones[z]}/" \
         -e "s/\{\{listen.front\}\}/$ip:8388/; s/\{\{listen.ready\}\}/$ip:8384/; s/\{\{listen.directory\}\}/$ip:8383/" \
--- a/review/stand_ins/stand_in.h
+++ b/review/stand_ins/stand_in.h
@@ -55,7 +55,9 @@
 /// The record of a run: one line for each event, with the seconds since the start.
 class record {
 public:
-    static void open(const std::string& path) { file() = std::fopen(path.c_str(), "w"); }
+    static void open(const std::string& path) {
+        file() = std::fopen(path.c_str(), "w");
+    }
 
     static void line(const char* format, ...) __attribute__((format(printf, 1, 2))) {
         static std::mutex mutex;
@@ -104,12 +106,19 @@
         return at == std::string::npos ? "" : start_line.substr(at, start_line.find(' ', at) - at);
     }
 
-    int status() const { return std::atoi(word(1).c_str()); }
-    std::string method() const { return word(0); }
+    int status() const {
+        return std::atoi(word(1).c_str());
+    }
+
+    std::string method() const {
+        return word(0);
+    }
+
     std::string path() const {
         const auto target = word(1);
         return target.substr(0, target.find('?'));
     }
+
     std::string query(const std::string& name) const {
         const auto target = word(1);
         auto at = target.find('?');
@@ -132,11 +141,17 @@
         const int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     }
+
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
-    ~connection() { close(fd_); }
 
-    int fd() const { return fd_; }
+    ~connection() {
+        close(fd_);
+    }
+
+    int fd() const {
+        return fd_;
+    }
 
     /// Why the last read ended early: 0 for an orderly end, -1 for the time limit, else errno.
     int end_reason{0};
@@ -239,9 +254,10 @@
     return it;
 }
 
-/// Connects within a second, as clients of the platform do; null on failure. `window`: bytes of the receive buffer, 0
-/// for the system's choice.
-inline std::unique_ptr<connection> connect_to(const std::string& address, const std::string& from = "", int window = 0) {
+/// Connects within a second, as clients of the platform do; null on failure. `window`: bytes of the receive
+/// buffer, 0 for the system's choice.
+inline std::unique_ptr<connection> connect_to(const std::string& address, const std::string& from = "",
+                                              int window = 0) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (window > 0) {
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
@@ -319,6 +335,15 @@
     return text;
 }
 
+inline std::string local_ip(const connection& it) {
+    sockaddr_in own{};
+    socklen_t size = sizeof own;
+    getsockname(it.fd(), reinterpret_cast<sockaddr*>(&own), &size);
+    char text[INET_ADDRSTRLEN]{};
+    inet_ntop(AF_INET, &own.sin_addr, text, sizeof text);
+    return text;
+}
+
 // ---- the platform's store ----
 
 inline std::string to_base64(const std::string& bytes) {
@@ -361,8 +386,14 @@
     /// A watch that has waited for so long without an event is cut: its connection is closed in order.
     double cuts_watches_after{1e9};
 
+    /// Whether a call that arrives at this address of the store is turned away with 503.
+    std::function<bool(const std::string& own_ip)> turns_away;
+
+    /// Opens an address of the store; there may be several.
     bool open(const std::string& address) {
-        return server_.open(address, [this](connection& it, const message& call) { return serve(it, call); });
+        servers_.emplace_back();
+        return servers_.back().open(address,
+                                    [this](connection& it, const message& call) { return serve(it, call); });
     }
 
     /// A write of the operator or of a worker; `value` is the plain text.
@@ -398,6 +429,7 @@
         long lease{0};
         bool removed{false};
     };
+
     struct lease {
         double ttl{0};
         double ends{0};
@@ -405,11 +437,13 @@
 
     static std::string to_json(const item& it) {
         if (it.removed) {
-            return "{\"key\":\"" + it.key + "\",\"revision\":" + std::to_string(it.revision) + ",\"tombstone\":true}";
+            return "{\"key\":\"" + it.key + "\",\"revision\":" + std::to_string(it.revision) +
+                   ",\"tombstone\":true}";
         }
-        return "{\"key\":\"" + it.key + "\",\"value\":\"" + it.value + "\",\"revision\":" +
-               std::to_string(it.revision) + ",\"create_rev\":" + std::to_string(it.created) +
-               ",\"lease\":" + std::to_string(it.lease) + "}";
+        return "{\"key\":\"" + it.key + "\",\"value\":\"" + it.value +
+               "\",\"revision\":" + std::to_string(it.revision) +
+               ",\"create_rev\":" + std::to_string(it.created) + ",\"lease\":" + std::to_string(it.lease) +
+               "}";
     }
 
     void write(const std::string& key, const std::string& value, long lease, bool removed) {
@@ -467,8 +501,8 @@
                 found += (found.empty() ? "" : ",") + to_json(it);
             }
         }
-        return response_text(200, "{\"items\":[" + found + "],\"has_more\":false,\"at_rev\":" +
-                                      std::to_string(revision_) + "}");
+        return response_text(200, "{\"items\":[" + found +
+                                      "],\"has_more\":false,\"at_rev\":" + std::to_string(revision_) + "}");
     }
 
     std::string watch(std::unique_lock<std::mutex>& guard, const message& call) {
@@ -485,8 +519,8 @@
                 }
             }
             if (!found.empty() || elapsed() >= due) {
-                return response_text(200,
-                                     "{\"events\":[" + found + "],\"at_rev\":" + std::to_string(revision_) + "}");
+                return response_text(200, "{\"events\":[" + found +
+                                              "],\"at_rev\":" + std::to_string(revision_) + "}");
             }
             if (elapsed() >= cut) {
                 return {};
@@ -512,7 +546,8 @@
         const double ttl = std::atof(json_field(call.body, "ttl_s_time").c_str());
         const long id = next_lease_++;
         leases_[id] = {ttl, elapsed() + ttl};
-        return response_text(200, "{\"lease\":" + std::to_string(id) + ",\"ttl_s_time\":" + std::to_string(ttl) + "}");
+        return response_text(200, "{\"lease\":" + std::to_string(id) +
+                                      ",\"ttl_s_time\":" + std::to_string(ttl) + "}");
     }
 
     std::string renew(long id) {
@@ -552,17 +587,20 @@
 
     bool serve(connection& it, const message& call) {
         const auto caller = peer_ip(it);
+        if (turns_away && turns_away(local_ip(it))) {
+            return it.send_all(response_text(503, "{}"));
+        }
         const bool is_write = call.path() == "/api/kv-txn" || call.path() == "/api/kv-lease";
         const auto late = is_write && loses_write ? loses_write(caller, call) : std::nullopt;
         if (late) {
-            record::line("store: %s of %s gets no answer, done %.1f s later", call.path().c_str(), caller.c_str(),
-                         *late);
+            record::line("store: %s of %s gets no answer, done %.1f s later", call.path().c_str(),
+                         caller.c_str(), *late);
             std::thread([this, call, caller, late] {
                 sleep_s(*late);
                 std::unique_lock guard(mutex_);
                 const auto done = run(guard, call);
-                record::line("store: the unanswered %s of %s is done: %s", call.path().c_str(), caller.c_str(),
-                             done.substr(9, 3).c_str());
+                record::line("store: the unanswered %s of %s is done: %s", call.path().c_str(),
+                             caller.c_str(), done.substr(9, 3).c_str());
             }).detach();
             it.wait_closed(60);
             return false;
@@ -579,7 +617,7 @@
         return !answer.empty() && it.send_all(answer);
     }
 
-    server server_;
+    std::deque<server> servers_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, item> items_;
@@ -602,10 +640,10 @@
 
 /// The entry of a worker in the store.
 inline std::string worker_entry(const worker_options& it, long sequence, const char* state = "ready") {
-    return "{\"address\":\"" + it.address + "\",\"born\":1700000000000,\"info\":{\"service\":\"" + it.service +
-           "\",\"version\":\"v1\",\"zone\":\"" + it.zone + "\",\"capacity\":" + std::to_string(it.capacity) +
-           "},\"status\":{\"state\":\"" + state + "\",\"sequence\":" + std::to_string(sequence) +
-           ",\"cold_remaining_s\":0.0}}";
+    return "{\"address\":\"" + it.address + "\",\"born\":1700000000000,\"info\":{\"service\":\"" +
+           it.service + "\",\"version\":\"v1\",\"zone\":\"" + it.zone +
+           "\",\"capacity\":" + std::to_string(it.capacity) + "},\"status\":{\"state\":\"" + state +
+           "\",\"sequence\":" + std::to_string(sequence) + ",\"cold_remaining_s\":0.0}}";
 }
 
 /// Headers that every answer of a worker to a request has.
@@ -653,11 +691,12 @@
             return go_on;
         }
         record::line("worker %s runs %s tenant %s", options_.id.c_str(),
-                     request.header("Lycheegap-Request-Id").c_str(), request.header("Lycheegap-Tenant").c_str());
+                     request.header("Lycheegap-Request-Id").c_str(),
+                     request.header("Lycheegap-Tenant").c_str());
         sleep_s(options_.work_s);
-        return it.send_all(response_text(
-            200, "answer to " + request.header("Lycheegap-Request-Id"),
-            answer_headers(request) + "Lycheegap-Server-Load: 1,0," + std::to_string(options_.capacity) + "\r\n"));
+        return it.send_all(response_text(200, "answer to " + request.header("Lycheegap-Request-Id"),
+                                         answer_headers(request) + "Lycheegap-Server-Load: 1,0," +
+                                             std::to_string(options_.capacity) + "\r\n"));
     }
 
     worker_options options_;
@@ -715,8 +754,13 @@
         }
     }
 
-    int id() const { return id_; }
-    bool runs() const { return id_ > 0 && kill(id_, 0) == 0; }
+    int id() const {
+        return id_;
+    }
+
+    bool runs() const {
+        return id_ > 0 && kill(id_, 0) == 0;
+    }
 
 private:
     std::string program_;
