--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -118,6 +118,7 @@
         .service = admitted.service,
         .object_key = admitted.affinity_key,
         .region = state.options.region,
+        .target_region = {},
         .regions = admitted.regions,
         .tried = tried,
         .knowledge = membership_knowledge_of(state, *fleet),
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -110,8 +110,9 @@
                       [](const candidate& a, const candidate& b) { return a.rank > b.rank; });
     const auto preferred = all.first(ranks);
     // Both have the object cached, so the local region goes first: crossing regions costs time and bandwidth.
+    const auto region = request.target_region.empty() ? request.region : request.target_region;
     std::stable_partition(preferred.begin(), preferred.end(),
-                          [&](const candidate& it) { return it.endpoint->entry.region == request.region; });
+                          [&](const candidate& it) { return it.endpoint->entry.region == region; });
     if (const auto* free = first_with_free_slot(preferred)) {
         return free;
     }
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -17,6 +17,9 @@
     std::string_view object_key;
     /// Region of this host.
     std::string_view region;
+    /// Region that the service's split over the regions selects; its endpoints go first. Empty stands for the
+    /// host's own region.
+    std::string_view target_region;
     /// Regions that may serve the request; empty allows all.
     std::span<const std::string> regions;
     /// Ids of the endpoints already tried for this request; they are excluded.
