--- a/source/stand_ins/platform_store.cpp
+++ b/source/stand_ins/platform_store.cpp
@@ -166,6 +166,18 @@
     return found == store.items.end() ? 0 : found->second.revision;
 }
 
+/// The items named by the conditions of a transaction, as they are; keys that do not exist are left out.
+json current_items(const platform_store& store, const json& conditions) {
+    json items = json::array();
+    for (const auto& it : conditions) {
+        const auto found = store.items.find(it.at("key").get<std::string>());
+        if (found != store.items.end()) {
+            items.push_back(to_json(found->second));
+        }
+    }
+    return items;
+}
+
 /// Keys that only operators and endpoints may write.
 bool is_reserved(const std::string& key) {
     return key.starts_with("op/") || key.starts_with("servers/");
@@ -175,7 +187,8 @@
 http_response run_transaction(platform_store& store, const json& body) {
     for (const auto& it : body.value("expected", json::array())) {
         if (revision_of(store, it.at("key")) != it.at("revision").get<std::uint64_t>()) {
-            return {status_precondition_failed, {}, {}};
+            return make_json_response(status_precondition_failed,
+                                      {{"items", current_items(store, body.at("expected"))}});
         }
     }
     const auto writes = body.value("writes", json::array());
