Use a host's own part of a rate limit only while it is surely held

Cause: own parts were used without a check of how old the knowledge of the fleet was, and a bucket whose host had no part for a while was credited with that time at the next refill.

Change: the part is a right with a start and an end (traffic/rate_part). It ends with the validity of the membership; a host that has it again, or that becomes a member anew, starts with an empty bucket. Times of tokens are on the boot clock. The search over outages plays these functions and the membership of the product, in place of its own copy of the division.

--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -30,7 +30,7 @@
         prune_endpoint_connections(state);
         answer_expired_waiters(state.mirror);
         expire_members(state);
-        update_home_teams(state);
+        update_rate_rights(state);
         std::vector<std::string> gone;
         {
             const std::lock_guard guard(state.endpoints.mutex);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "core/traffic/fleet_view.h"
 #include "core/traffic/graceful_stop.h"
 #include "core/traffic/rate_home.h"
+#include "core/traffic/rate_part.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
 #include "net.h"
@@ -88,14 +89,17 @@
     std::map<std::string, common::time_point, std::less<>> removals_due;
 };
 
-/// Rate limits of the teams: this host's own tokens, and those that it lends as a home.
+/// Rate limits of the teams: this host's own tokens, and those that it lends as a home. Times of tokens are on
+/// the boot clock.
 struct rate_table {
     common::ranked_mutex mutex{common::lock_rank::rate_table};
+    /// This host's right to use a part of the limits without asking the homes.
+    traffic::own_part part;
     /// By name of the team.
     std::map<std::string, traffic::team_tokens, std::less<>> teams;
     /// By name of the team, those that this host lends tokens of, or did.
     std::map<std::string, traffic::home_bucket, std::less<>> homes;
-    /// Members and configuration of the last update by `update_home_teams`.
+    /// Members and configuration of the last update by `update_rate_rights`.
     std::shared_ptr<const fleet_view> home_teams_fleet;
     std::shared_ptr<const traffic::configuration> home_teams_config;
     /// By host name: a home that did not respond is not asked again until then.
--- a/source/core/gateway/team_rates.cpp
+++ b/source/core/gateway/team_rates.cpp
@@ -29,6 +29,20 @@
     return found == config.teams.end() ? nullptr : &*found;
 }
 
+/// Times of rights to tokens are on the boot clock: rights end while the machine is suspended, too.
+common::time_point rate_time(common::boot_clock::time_point at) {
+    return common::time_point(at.time_since_epoch());
+}
+
+common::time_point rate_now() {
+    return rate_time(common::boot_clock::now());
+}
+
+/// What this host knows of the fleet, with a time on the clock of the rates.
+traffic::membership_knowledge rate_knowledge_of(gateway_state& state, const fleet_view& fleet) {
+    return {state.options.host, &fleet, rate_time(membership_valid_until(state))};
+}
+
 /// Whether this host may act as a home; later another host may have become the home.
 bool may_act_as_home(gateway_state& state) {
     return common::boot_clock::now() <= home_valid_until(state);
@@ -51,7 +65,7 @@
     }
     const auto lent =
         traffic::lent_limit(traffic::fleet_limit(*from, state.options.rates), traffic::sharing_hosts(*fleet));
-    const auto now = monotonic::now();
+    const auto now = rate_now();
     const std::lock_guard guard(state.rates.mutex);
     auto& home = state.rates.homes[std::string(team)];
     traffic::note_home(home, is_home_of(state, *fleet, team), now);
@@ -120,17 +134,13 @@
     co_return best;
 }
 
-/// The part of the team's limit that this host uses without asking the homes.
-traffic::rate_limit own_rate_limit(gateway_state& state, const traffic::team& from) {
-    const auto fleet = current_fleet(state);
-    const auto hosts = traffic::sharing_hosts(*fleet);
-    if (hosts == 0) {
-        return {};
-    }
-    // Hosts that left recently may still use their parts.
-    const double part =
-        fleet->own_caller_share * static_cast<double>(fleet->names.size()) / static_cast<double>(hosts);
-    return traffic::own_limit(traffic::fleet_limit(from, state.options.rates), part, hosts);
+/// Puts this host's own limit of the team in force; the caller holds the lock of the rates.
+void update_own_limit(gateway_state& state, const traffic::team& from, const fleet_view& fleet,
+                      common::time_point now) {
+    const auto limit = traffic::fleet_limit(from, state.options.rates);
+    auto& rates = state.rates;
+    traffic::note_own_limit(rates.teams.try_emplace(from.name).first->second, rates.part,
+                            traffic::held_limit(rates.part, fleet, limit), now);
 }
 
 } // namespace
@@ -139,16 +149,16 @@
     if (from.rate <= 0) {
         co_return std::nullopt;
     }
-    const auto own = own_rate_limit(state, from);
-    const auto asked_at = monotonic::now();
+    const auto fleet = current_fleet(state);
+    const auto knowledge = rate_knowledge_of(state, *fleet);
+    const auto asked_at = rate_now();
     traffic::token_decision decision;
     {
         const std::lock_guard guard(state.rates.mutex);
-        auto& tokens = state.rates.teams.try_emplace(from.name).first->second;
-        if (tokens.own.at == common::time_point{}) {
-            tokens.own.at = state.started_at;
-        }
-        decision = traffic::decide_token(tokens, own, asked_at);
+        traffic::note_own_part(state.rates.part, knowledge, asked_at);
+        update_own_limit(state, from, *fleet, asked_at);
+        auto& tokens = state.rates.teams.at(from.name);
+        decision = traffic::decide_token(tokens, tokens.own_limit, asked_at);
     }
     if (decision.step == traffic::token_step::taken) {
         co_return std::nullopt;
@@ -160,7 +170,7 @@
     const auto lent = co_await borrow_tokens(state, from, decision);
     const std::lock_guard guard(state.rates.mutex);
     auto& tokens = state.rates.teams[from.name];
-    if (traffic::note_loan(tokens, decision, lent, asked_at, monotonic::now())) {
+    if (traffic::note_loan(tokens, decision, lent, asked_at, rate_now())) {
         co_return std::nullopt;
     }
     co_return traffic::refusal_pause(tokens);
@@ -174,18 +184,21 @@
     traffic::return_token(state.rates.teams[from.name]);
 }
 
-void update_home_teams(gateway_state& state) {
+void update_rate_rights(gateway_state& state) {
     const auto config = current_configuration(state);
     const auto fleet = current_fleet(state);
-    const auto now = monotonic::now();
+    const auto knowledge = rate_knowledge_of(state, *fleet);
+    const auto now = rate_now();
     const std::lock_guard guard(state.rates.mutex);
     auto& rates = state.rates;
+    traffic::note_own_part(rates.part, knowledge, now);
     if (!config || (rates.home_teams_fleet == fleet && rates.home_teams_config == config)) {
         return;
     }
     for (const auto& it : config->teams) {
         if (it.rate > 0) {
             traffic::note_home(rates.homes[it.name], is_home_of(state, *fleet, it.name), now);
+            update_own_limit(state, it, *fleet, now);
         }
     }
     rates.home_teams_fleet = fleet;
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -91,9 +91,7 @@
     if (borrowed) {
         tokens.borrowed -= 1;
     }
-    // Hosts whose share is below one token only borrow: a bucket holds at least one, so their own buckets
-    // would together exceed the limit.
-    const bool taken = borrowed || (own.capacity >= 1 && take_token(tokens.own, own, now));
+    const bool taken = borrowed || (has_own_tokens(own) && take_token(tokens.own, own, now));
     tokens.token_use_rate += taken ? 1 / rate_averaging_s : 0;
     return taken;
 }
@@ -105,6 +103,10 @@
     return {fleet.rate * fraction, fleet.capacity * fraction};
 }
 
+bool has_own_tokens(const rate_limit& own) {
+    return own.capacity >= 1;
+}
+
 rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts) {
     const auto homes = static_cast<double>(std::clamp<std::size_t>(hosts, 1, homes_per_team));
     const double fraction = (1 - own_fraction_of(fleet, hosts)) / homes;
--- a/source/core/traffic/rate_home.h
+++ b/source/core/traffic/rate_home.h
@@ -21,6 +21,10 @@
 /// `hosts` hosts would hold too few tokens to use them; the homes then lend all of it.
 rate_limit own_limit(const rate_limit& fleet, double share, std::size_t hosts);
 
+/// Whether a host with the own limit `own` uses tokens of its own. A bucket holds at least one token, so with a
+/// smaller share the buckets of all hosts together would exceed the fleet's limit.
+bool has_own_tokens(const rate_limit& own);
+
 /// The limit on the tokens that one home lends: its equal share of what the hosts don't hold themselves.
 rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts);
 
@@ -53,6 +57,8 @@
 /// A team's tokens on one host, own and borrowed.
 struct team_tokens {
     rate_bucket own;
+    /// The own limit in force; zero while the host has none.
+    rate_limit own_limit;
     /// Borrowed tokens that are left.
     double borrowed{0};
     common::time_point borrowed_until;
--- a/source/unit_tests/gateway/team_rates_test.cpp
+++ b/source/unit_tests/gateway/team_rates_test.cpp
@@ -52,14 +52,42 @@
     std::this_thread::sleep_for(traffic::home_wait + milliseconds(300));
 }
 
+/// Requests out of `count` at once that get a token.
+int tokens_taken(gateway_state& state, int count) {
+    const auto config = current_configuration(state);
+    int taken = 0;
+    for (int n = 0; n < count; ++n) {
+        net::co_spawn(
+            state.io, take_rate_token(state, config->teams.front()),
+            [&taken](const auto&, const auto& retry_after) { taken += retry_after ? 0 : 1; });
+    }
+    state.io.restart();
+    state.io.run();
+    return taken;
+}
+
 } // namespace
 
+TEST_CASE("a host whose knowledge of the fleet is too old uses no part of a team's limit") {
+    const auto state = single_host_fleet();
+    update_rate_rights(*state);
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(tokens_taken(*state, 1) == 1);
+    std::this_thread::sleep_for(milliseconds(300));
+    state->mirror.mirror.confirmed_at = common::boot_clock::now() - milliseconds(60'000);
+    CHECK(tokens_taken(*state, 1) == 0);
+    // Confirmed again, it has neither the tokens from before nor any for the time without a part.
+    std::this_thread::sleep_for(milliseconds(500));
+    state->mirror.mirror.confirmed_at = common::boot_clock::now();
+    CHECK(tokens_taken(*state, 10) <= 1);
+}
+
 TEST_CASE("a home collects tokens from when it becomes one, not from the first request for them") {
     const auto state = single_host_fleet();
-    update_home_teams(*state);
+    update_rate_rights(*state);
     wait_for_former_home_loans();
     CHECK(tokens_lent(*state) == 4);
-    // Without `update_home_teams`, the wait begins at the first request for tokens.
+    // Without `update_rate_rights`, the wait begins at the first request for tokens.
     const auto without_update = single_host_fleet();
     wait_for_former_home_loans();
     CHECK(tokens_lent(*without_update) == 0);
@@ -70,7 +98,7 @@
     const auto state = single_host_fleet();
     apply_member(*state, member_named("host-2"));
     apply_member(*state, member_named("host-3"));
-    update_home_teams(*state);
+    update_rate_rights(*state);
     wait_for_former_home_loans();
     REQUIRE(tokens_lent(*state) > 0);
     // More tokens gather.
@@ -102,7 +130,7 @@
 
 TEST_CASE("a home whose own lease was not renewed lends nothing, although its view of the fleet is current") {
     const auto state = single_host_fleet();
-    update_home_teams(*state);
+    update_rate_rights(*state);
     wait_for_former_home_loans();
     CHECK(tokens_lent(*state) > 0);
     state->registered_until = (common::boot_clock::now() - milliseconds(1)).time_since_epoch().count();
@@ -111,7 +139,7 @@
 
 TEST_CASE("a host that is not a home, or whose members are no longer confirmed, lends nothing") {
     const auto state = single_host_fleet();
-    update_home_teams(*state);
+    update_rate_rights(*state);
     wait_for_former_home_loans();
     state->mirror.mirror.confirmed_at = common::boot_clock::now() - milliseconds(60'000);
     CHECK(tokens_lent(*state) == 0);
@@ -121,7 +149,7 @@
     }
     const auto homes = traffic::homes_of(current_fleet(*state)->members, "kite");
     const bool is_home = std::find(homes.begin(), homes.end(), "host-1") != homes.end();
-    update_home_teams(*state);
+    update_rate_rights(*state);
     CHECK((tokens_lent(*state) > 0) == is_home);
 }
 
--- a/source/unit_tests/traffic/outage_rates_test.cpp
+++ b/source/unit_tests/traffic/outage_rates_test.cpp
@@ -9,6 +9,7 @@
 
 #include "core/traffic/fleet_view.h"
 #include "core/traffic/rate_home.h"
+#include "core/traffic/rate_part.h"
 #include "core/traffic/store_outage.h"
 
 // Plays outages of the store, for all hosts or for some, with restarts and pauses, and searches for a window
@@ -35,6 +36,7 @@
 constexpr int lease_ms = 4000;
 constexpr int read_interval_ms = 500;
 constexpr int question_interval_ms = 200;
+constexpr int maintenance_interval_ms = 250;
 constexpr int stale_ms = 1500;
 constexpr int reregistration_ms = 2000;
 constexpr int max_registration_delay_ms = 1200;
@@ -62,8 +64,8 @@
     fleet_member member;
     team_tokens tokens;
     home_bucket home;
-    fleet_members view;
-    double share{0};
+    own_part part;
+    fleet_view view;
     std::vector<std::string> homes;
     std::vector<std::string> neighbours;
     std::size_t next_neighbour{0};
@@ -125,12 +127,21 @@
            !(in_outage(it, ms) && it.plan.refused_share >= 1);
 }
 
-void set_view(model_host& host, fleet_members view, int ms) {
-    host.view = std::move(view);
-    host.share =
-        host.view.contains(host.member.name) ? expected_caller_share(host.view, host.member.name) : 0;
-    host.homes = homes_of(host.view, "kite");
-    host.neighbours = neighbours_of(host.view, host.member.name);
+void set_view(model_host& host, const fleet_members& members, int ms) {
+    std::vector<member_change> changes;
+    for (const auto& [name, it] : host.view.members) {
+        if (!members.contains(name)) {
+            changes.push_back({name, std::nullopt});
+        }
+    }
+    for (const auto& [name, it] : members) {
+        if (!host.view.members.contains(name)) {
+            changes.push_back({name, it});
+        }
+    }
+    change_members(host.view, std::move(changes), host.member.name, at(ms));
+    host.homes = homes_of(host.view.members, "kite");
+    host.neighbours = neighbours_of(host.view.members, host.member.name);
     const bool is_home =
         std::find(host.homes.begin(), host.homes.end(), host.member.name) != host.homes.end();
     note_home(host.home, is_home, at(ms));
@@ -146,10 +157,10 @@
 void learn(fleet_model& it, model_host& host, int ms) {
     auto next = it.members;
     if (ms >= it.plan.outage_until && ms < it.plan.outage_until + reregistration_ms) {
-        next.insert(host.view.begin(), host.view.end());
+        next.insert(host.view.members.begin(), host.view.members.end());
     }
-    if (!same_members(next, host.view)) {
-        set_view(host, std::move(next), ms);
+    if (!same_members(next, host.view.members)) {
+        set_view(host, next, ms);
     }
 }
 
@@ -159,15 +170,31 @@
     if (confirmed && (it.plan.naive || ms <= host.lease_end)) {
         return true;
     }
-    const auto known = outage_known_until(host.evidence, host.view.size(), boot_at(ms));
+    const auto known = outage_known_until(host.evidence, sharing_hosts(host.view), boot_at(ms));
     return !it.plan.naive && known && boot_at(ms) <= *known;
 }
 
+/// Time until which the host may use its part of the limit.
+int part_valid_until(const model_host& host, int ms) {
+    const int confirmed = host.confirmed_at + static_cast<int>(membership_validity.count());
+    const auto known = outage_known_until(host.evidence, sharing_hosts(host.view), boot_at(ms));
+    const auto known_ms = known ? common::milliseconds_between(boot_at(0), *known) : confirmed;
+    return std::max(confirmed, static_cast<int>(known_ms));
+}
+
+void update_rights(const fleet_model& it, model_host& host, int ms) {
+    forget_former(host.view, at(ms));
+    note_own_part(host.part, {host.member.name, &host.view, at(part_valid_until(host, ms))}, at(ms));
+    const auto own = held_limit(host.part, host.view, fleet_limit(it.limited_team, bounds));
+    note_own_limit(host.tokens, host.part, own, at(ms));
+}
+
 void restart(model_host& host, int ms) {
     host.tokens = {};
-    host.tokens.own.at = at(ms);
     host.home = {};
+    host.part = {};
     host.evidence = {};
+    host.view = {};
     set_view(host, {}, ms);
     host.confirmed_at = -100'000;
     host.registers_at = ms;
@@ -200,8 +227,8 @@
     }
     if (other.confirmed_at > host.confirmed_at) {
         host.confirmed_at = other.confirmed_at;
-        if (!same_members(other.view, host.view)) {
-            set_view(host, other.view, ms);
+        if (!same_members(other.view.members, host.view.members)) {
+            set_view(host, other.view.members, ms);
         }
     }
 }
@@ -238,7 +265,7 @@
 }
 
 token_loan ask_home(fleet_model& it, model_host& home, double wanted, int ms) {
-    const auto lent = lent_limit(fleet_limit(it.limited_team, bounds), home.view.size());
+    const auto lent = lent_limit(fleet_limit(it.limited_team, bounds), sharing_hosts(home.view));
     if (!may_lend(it, home, ms)) {
         return {0, milliseconds(400)};
     }
@@ -264,8 +291,8 @@
 }
 
 void send_request(fleet_model& it, model_host& host, int ms) {
-    const auto own = own_limit(fleet_limit(it.limited_team, bounds), host.share, host.view.size());
-    const auto decision = decide_token(host.tokens, own, at(ms));
+    update_rights(it, host, ms);
+    const auto decision = decide_token(host.tokens, host.tokens.own_limit, at(ms));
     bool taken = decision.step == token_step::taken;
     if (decision.step == token_step::ask) {
         taken = note_loan(host.tokens, decision, borrow(it, host, decision, ms), at(ms), at(ms));
@@ -289,6 +316,9 @@
         return;
     }
     const int number = static_cast<int>(&host - it.hosts.data());
+    if ((ms + number * step_ms) % maintenance_interval_ms == 0) {
+        update_rights(it, host, ms);
+    }
     if (is_served(it, host, ms)) {
         if ((ms + number * step_ms) % read_interval_ms == 0) {
             call_store(it, host, ms);
@@ -318,7 +348,6 @@
     for (int n = 0; n < plan.hosts; ++n) {
         it.hosts.emplace_back();
         it.hosts.back().member = make_member(n);
-        it.hosts.back().tokens.own.at = start;
         set_view(it.hosts.back(), it.members, 0);
     }
     for (int ms = 0; ms < plan.length_ms; ms += step_ms) {
