Pass endpoints' load reports on between the hosts of a region

Cause: with 36 hosts and 400 endpoints a host gets a report of an endpoint every few seconds, while its load changes within one; the estimate counted little but the host's own requests.

--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -33,6 +33,8 @@
     retry_table = 55,
     /// host: request ids and outcomes of non-idempotent requests.
     outcome_table = 60,
+    /// gateway: load reports kept for the other hosts.
+    load_table = 65,
     /// host, gateway: state of the endpoints.
     endpoint_table = 70,
     /// host: random number generator.
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "core/common/log.h"
+#include "load_exchange.h"
 #include "message_headers.h"
 
 namespace lycheegap::gateway {
@@ -302,6 +303,9 @@
     const auto outcome = exchange.outcome;
     note_requested_rest(state, *it->placed.endpoint, exchange.response);
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
+    if (report) {
+        keep_load_report(state, it->placed.entry, *report, monotonic::now());
+    }
     auto result = classify_result(state.options.headers, std::move(exchange));
     record_result(state, *it, result, report, outcome);
     log_attempt_failed(state, *pending, admitted.service, *it, result);
--- a/source/core/gateway/fleet_link.cpp
+++ b/source/core/gateway/fleet_link.cpp
@@ -7,6 +7,7 @@
 #include "core/common/log.h"
 #include "core/schema/peer_codec.h"
 #include "core/transport/listen_socket.h"
+#include "load_exchange.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -38,6 +39,10 @@
         respond(handle_rate_question(state, question.team, question.wanted));
         return;
     }
+    if (read && read->body.type == schema::peer_body::load_exchange) {
+        respond(handle_load_exchange(state, *read->body.Asload_exchange()));
+        return;
+    }
     common::log_warning("peer_message_refused", {field("reason", read ? "unexpected" : "unreadable")});
     schema::peer_refusal_t refused;
     refused.step = "decode";
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
+#include "load_exchange.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -88,6 +89,7 @@
     running->listener = std::make_shared<tcp::acceptor>(net::make_strand(state.io), tcp::v4(), opened->fd);
     net::co_spawn(running->listener->get_executor(), accept_callers(state, running->listener), net::detached);
     net::co_spawn(state.io, run_maintenance(state), net::detached);
+    net::co_spawn(state.io, exchange_loads(state), net::detached);
     for (int n = 0; n < state.options.workers; ++n) {
         running->workers.emplace_back([&state] { state.io.run(); });
     }
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "core/traffic/endpoint_set.h"
 #include "core/traffic/fleet_view.h"
 #include "core/traffic/graceful_stop.h"
+#include "core/traffic/load_sharing.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
@@ -116,6 +117,14 @@
     traffic::endpoint_set set;
 };
 
+/// Load reports that this host passes on to other hosts.
+struct load_table {
+    common::ranked_mutex mutex{common::lock_rank::load_table};
+    traffic::load_log log;
+    /// By host name: reports up to then were sent to it.
+    std::map<std::string, common::time_point, std::less<>> sent_until;
+};
+
 /// Pool of idle connections, by endpoint.
 struct connection_table {
     common::ranked_mutex mutex{common::lock_rank::connection_pool};
@@ -154,6 +163,7 @@
     fleet_table fleet;
     rate_table rates;
     retry_table retries;
+    load_table loads;
     endpoint_table endpoints;
     connection_table connections;
     caller_table callers;
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -99,6 +99,19 @@
     }
 }
 
+/// Smooths the number of other hosts' requests over the reports.
+void note_external_load(endpoint_state& endpoint, int requests, common::time_point at) {
+    const double seen = std::max(0, requests);
+    if (!endpoint.external) {
+        endpoint.external = external_load{seen, at};
+        return;
+    }
+    const double age = std::max(0.0, common::seconds_between(endpoint.external->at, at));
+    const double weight = 1 - std::exp(-std::max(age, 0.01) / load_smoothing_s);
+    endpoint.external->requests += (seen - endpoint.external->requests) * weight;
+    endpoint.external->at = at;
+}
+
 /// Updates the endpoint's cold time from an entry and from the cold time of its domain.
 void apply_cold_time(const endpoint_set& set, endpoint_state& it, const endpoint_entry& entry,
                      common::time_point now, bool in_use) {
@@ -225,15 +238,15 @@
     endpoint.last_report = report;
     endpoint.last_report_at = now;
     // The report no longer counts the answered request, but `in_flight` does.
-    const double seen = std::max(0, report.running + report.waiting - std::max(0, endpoint.in_flight - 1));
-    if (!endpoint.external) {
-        endpoint.external = external_load{seen, now};
-        return;
+    note_external_load(endpoint, report.running + report.waiting - std::max(0, endpoint.in_flight - 1), now);
+}
+
+bool note_shared_load(endpoint_state& endpoint, const load_report& report, common::time_point at) {
+    if (at <= endpoint.last_report_at || (endpoint.external && at <= endpoint.external->at)) {
+        return false;
     }
-    const double age = std::max(0.0, common::seconds_between(endpoint.external->at, now));
-    const double weight = 1 - std::exp(-std::max(age, 0.01) / load_smoothing_s);
-    endpoint.external->requests += (seen - endpoint.external->requests) * weight;
-    endpoint.external->at = now;
+    note_external_load(endpoint, report.running + report.waiting - endpoint.in_flight, at);
+    return true;
 }
 
 void note_sent(endpoint_state& endpoint, common::time_point now) {
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -163,6 +163,10 @@
 /// flight.
 void note_report(endpoint_state& endpoint, const load_report& report, common::time_point now);
 
+/// Applies a load report that another host received at `at`, unless a later one is known. Returns whether it
+/// was applied.
+bool note_shared_load(endpoint_state& endpoint, const load_report& report, common::time_point at);
+
 /// Records that a request was sent.
 void note_sent(endpoint_state& endpoint, common::time_point now);
 
