Place requests by the expected answer, with costs learned from answers

Work is learned by route, service and size of the body as two costs, of cached and uncached objects; each endpoint keeps the work that is likely left there and the speed that it reports. Services with at least six endpoints in each region that has any use it; smaller ones keep the placement by load, which is place_by_load now. The tests of that rule call it by the new name and are otherwise unchanged.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -109,8 +109,8 @@
     return admitted;
 }
 
-std::optional<placed_call> place_call(gateway_state& state, const admitted_call& admitted,
-                                      std::span<const std::string> tried, slot_wait wait) {
+std::optional<placed_call> place_call(gateway_state& state, const call& incoming,
+                                      const admitted_call& admitted, std::span<const std::string> tried, slot_wait wait) {
     const auto fleet = current_fleet(state);
     const auto* service = traffic::find_service(*admitted.config, admitted.service);
     const double cold_rate = service == nullptr ? 0 : service->cold_rate;
@@ -125,13 +125,18 @@
         .target_latency = admitted.route->target_latency,
         .needs_free_slot = wait == slot_wait::excluded,
         .cold_limit = cold_rate * state.options.cold_overage + state.options.cold_slack,
+        .route = admitted.route->name,
+        .body_bytes = incoming.request.body().size(),
+        .response_deadline = admitted.response_deadline,
+        .rule = state.options.placement,
     };
     placement_basis basis;
     basis.hosts = fleet->names.size();
     basis.hosts_confirmed_at = mirror_confirmed_at(state);
     const auto now = monotonic::now();
     const std::lock_guard guard(state.endpoints.mutex);
-    auto endpoint = traffic::place_request(state.endpoints.set, wanted, now);
+    basis.expected = traffic::place_request(state.endpoints.set, state.endpoints.costs, wanted, now);
+    auto endpoint = basis.expected.endpoint;
     if (!endpoint) {
         return std::nullopt;
     }
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "call.h"
+#include "core/traffic/placement.h"
 #include "gateway_state.h"
 #include "refusal.h"
 
@@ -41,6 +42,8 @@
     /// Requests that this host may still send to the endpoint in the current cold window; 0 unless it is
     /// cold.
     double cold_room{0};
+    /// Rule, rank and expected times.
+    traffic::placement expected;
     /// Number of hosts in the fleet, and when the store last confirmed them.
     std::size_t hosts{0};
     common::boot_clock::time_point hosts_confirmed_at;
@@ -58,8 +61,8 @@
 
 /// Picks the endpoint for the next attempt; empty when none accepts work. `tried` are the ids of the
 /// endpoints tried so far.
-std::optional<placed_call> place_call(gateway_state& state, const admitted_call& admitted,
-                                      std::span<const std::string> tried, slot_wait wait);
+std::optional<placed_call> place_call(gateway_state& state, const call& incoming,
+                                      const admitted_call& admitted, std::span<const std::string> tried, slot_wait wait);
 
 /// Takes one retry from the service's retry budget; false when the budget is used up.
 bool take_retry(gateway_state& state, std::string_view service);
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -6,7 +6,9 @@
 #include <fmt/format.h>
 
 #include "core/common/log.h"
+#include "core/traffic/remaining_work.h"
 #include "message_headers.h"
+#include "work_record.h"
 
 namespace lycheegap::gateway {
 
@@ -17,6 +19,7 @@
 using common::monotonic;
 
 constexpr unsigned int status_misdirected = 421;
+constexpr unsigned int first_redirect = 300;
 constexpr unsigned int first_server_error = 500;
 // Covers two round trips between the farthest regions and one lost packet. An unreachable endpoint does not
 // respond to connects at all.
@@ -169,15 +172,25 @@
     return {attempt_outcome::answered, std::move(result.response), {}};
 }
 
-/// Updates the load and failure statistics of the endpoint.
+/// Updates the load, work and failure statistics of the endpoint.
 void record_result(gateway_state& state, const running_attempt& it, const attempt_result& result,
-                   const std::optional<traffic::load_report>& report, exchange_outcome outcome) {
+                   traffic::work_kind kind, const std::optional<traffic::load_report>& report,
+                   exchange_outcome outcome) {
     const auto now = monotonic::now();
     auto& endpoint = *it.placed.endpoint;
     const std::lock_guard guard(state.endpoints.mutex);
+    const ended_attempt ended{.attempt = &it,
+                              .kind = kind,
+                              .succeeded = result.outcome == attempt_outcome::answered &&
+                                           result.response.result_int() < first_redirect,
+                              .ended_at = now,
+                              .report = report,
+                              .report_before = endpoint.last_report,
+                              .report_before_at = endpoint.last_report_at};
     if (report) {
         traffic::note_report(endpoint, *report, now);
     }
+    record_work(state, ended);
     // Without requests in flight its silence would be forgotten, and a frozen endpoint would look idle.
     const bool lost_while_silent =
         it.cancelled == cancel_reason::answered_by_other && traffic::is_silent_since(endpoint, it.sent_at);
@@ -233,6 +246,10 @@
          field("attempt", it.number), field("endpoint", it.placed.entry.id),
          field("kept_connection", it.kept_connection),
          field("due_ms", common::milliseconds_between(now, it.request->deadline)),
+         field("rule", traffic::rule_name(basis.expected.rule)), field("rank", basis.expected.rank),
+         field("region", it.placed.entry.region),
+         field("expected_wait_ms", common::milliseconds_between(it.sent_at, basis.expected.expected_start)),
+         field("expected_ms", common::milliseconds_between(it.sent_at, basis.expected.expected_end)),
          field("stopping", state.stopping.load()), field("basis", basis.is_cold ? "cold_share" : "warm"),
          field("cold_ms", basis.is_cold ? common::milliseconds_between(now, basis.cold.until) : 0),
          field("cold_source", traffic::source_name(basis.cold.source)),
@@ -282,6 +299,11 @@
     {
         const std::lock_guard guard(state.endpoints.mutex);
         traffic::note_sent(*it->placed.endpoint, it->sent_at);
+        const auto& expected = it->placed.basis.expected;
+        if (expected.rule == traffic::placement_rule::by_work) {
+            it->work_id =
+                traffic::begin_work(*it->placed.endpoint, expected.expected_start, expected.work);
+        }
     }
     log_attempt_sent(state, pending, *it);
     return it;
@@ -303,7 +325,7 @@
     note_requested_rest(state, *it->placed.endpoint, exchange.response);
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
     auto result = classify_result(state.options.headers, std::move(exchange));
-    record_result(state, *it, result, report, outcome);
+    record_result(state, *it, result, work_kind_of(*pending, admitted), report, outcome);
     log_attempt_failed(state, *pending, admitted.service, *it, result);
     co_return result;
 }
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -44,6 +44,8 @@
     /// The connection comes from the pool.
     bool kept_connection{false};
     std::shared_ptr<const exchange_request> request;
+    /// Id of the request among the endpoint's work; unused if it was placed by load.
+    std::uint64_t work_id{0};
     cancel_reason cancelled{cancel_reason::none};
     /// Set when the attempt has ended.
     std::optional<attempt_result> result;
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -95,6 +95,7 @@
         co_return false;
     }
     connection->connected = true;
+    connection->connected_at = common::monotonic::now();
     set_socket_options(connection->stream.socket().native_handle());
     co_return true;
 }
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -66,6 +66,8 @@
     /// "ip:port" of the other side.
     std::string peer;
     bool connected{false};
+    /// When it was opened.
+    common::time_point connected_at;
     /// Requests sent on this connection.
     int requests_sent{0};
     /// The last response was complete, the other side keeps the connection open, and no stray response or
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "core/traffic/endpoint_set.h"
 #include "core/traffic/fleet_view.h"
 #include "core/traffic/graceful_stop.h"
+#include "core/traffic/placement.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
@@ -34,7 +35,8 @@
     std::string team;
     /// Id of the endpoint that the request is meant for; sent to the endpoint.
     std::string target;
-    /// Load of an endpoint, in its responses: running and waiting requests and slots, separated by commas.
+    /// Load of an endpoint, in its responses: running and waiting requests, slots, and the time that work takes
+    /// in percent of the usual, separated by commas.
     std::string load;
     /// Present in an endpoint's response when it did not run the request.
     std::string not_run;
@@ -56,6 +58,7 @@
     /// Requests of one second that a cold endpoint may get: its cold rate times the factor, plus the slack.
     double cold_overage{1};
     double cold_slack{0};
+    traffic::placement_rule placement{traffic::placement_rule::automatic};
     common::milliseconds stop_time{6000};
     int workers{2};
     /// Bytes that all response bodies together may take while they are read.
@@ -110,10 +113,11 @@
     std::map<std::string, traffic::retry_share, std::less<>> services;
 };
 
-/// The endpoints that this host knows.
+/// The endpoints that this host knows, and what requests cost at them.
 struct endpoint_table {
     common::ranked_mutex mutex{common::lock_rank::endpoint_table};
     traffic::endpoint_set set;
+    traffic::work_costs costs;
 };
 
 /// Pool of idle connections, by endpoint.
--- a/source/core/gateway/message_headers.cpp
+++ b/source/core/gateway/message_headers.cpp
@@ -14,6 +14,10 @@
 // Longer timeouts of callers are capped to this.
 constexpr std::int64_t max_timeout_ms = 3'600'000;
 
+// Figures of a load report beyond these are not plausible.
+constexpr std::int64_t max_slots = 100'000;
+constexpr std::int64_t max_pace_percent = 10'000;
+
 constexpr std::array<std::string_view, 8> hop_by_hop_headers = {
     "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect",
 };
@@ -182,7 +186,15 @@
     if (!running || !waiting || *running < 0 || *waiting < 0 || *running + *waiting > 1'000'000) {
         return std::nullopt;
     }
-    return traffic::load_report{static_cast<int>(*running), static_cast<int>(*waiting)};
+    traffic::load_report report{
+        .running = static_cast<int>(*running), .waiting = static_cast<int>(*waiting), .slots = 0, .pace = {}};
+    if (const auto slots = parse_integer(split_off(rest, ',')); slots && *slots > 0 && *slots <= max_slots) {
+        report.slots = static_cast<int>(*slots);
+    }
+    if (const auto percent = parse_integer(split_off(rest, ',')); percent && *percent > 0) {
+        report.pace = static_cast<double>(std::min(*percent, max_pace_percent)) / 100;
+    }
+    return report;
 }
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -138,7 +138,7 @@
     if (retries_left(state, progress.admitted.service) < 1) {
         return refused("retry_budget");
     }
-    auto placed = place_call(state, progress.admitted, progress.tried, slot_wait::allowed);
+    auto placed = place_call(state, it, progress.admitted, progress.tried, slot_wait::allowed);
     if (!placed) {
         return refused("no_endpoint");
     }
@@ -232,7 +232,7 @@
                                        now);
     std::optional<placed_call> placed;
     if (decision == traffic::second_attempt::send) {
-        placed = place_call(state, admitted, progress.tried, slot_wait::excluded);
+        placed = place_call(state, it, admitted, progress.tried, slot_wait::excluded);
         if (!placed) {
             decision = traffic::second_attempt::no_endpoint;
         } else if (!take_retry(state, admitted.service)) {
@@ -302,7 +302,7 @@
 
 /// Makes attempts until one succeeds, no retry is allowed or the caller disconnects; then sets the response.
 awaitable<void> run_attempts(gateway_state& state, caller_ptr caller, call_ptr it, progress_ptr progress) {
-    auto placed = place_call(state, progress->admitted, progress->tried, slot_wait::allowed);
+    auto placed = place_call(state, *it, progress->admitted, progress->tried, slot_wait::allowed);
     while (placed && !it->abandoned) {
         start_attempt(state, caller, it, progress, std::move(*placed));
         co_await wait_for_answer(state, caller, it, progress);
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/common/digest.h"
+
 namespace lycheegap::traffic {
 
 namespace {
@@ -27,13 +29,27 @@
 constexpr std::size_t domain_cold_min_endpoints = 2;
 constexpr common::milliseconds domain_cold_window{1000};
 
+endpoint_group& group_of(endpoint_set& set, const endpoint_entry& entry) {
+    auto& groups = set.groups[entry.service];
+    const auto found = std::find_if(groups.begin(), groups.end(),
+                                    [&](const endpoint_group& it) { return it.region == entry.region; });
+    if (found != groups.end()) {
+        return *found;
+    }
+    return groups.emplace_back(endpoint_group{entry.region, std::make_shared<group_load>(), {}});
+}
+
 void add_to_service(endpoint_set& set, const endpoint_ptr& it) {
     set.by_service[it->entry.service].push_back(it);
+    auto& group = group_of(set, it->entry);
+    it->group = group.load;
+    group.endpoints.push_back(it);
 }
 
 void remove_from_service(endpoint_set& set, const endpoint_ptr& it) {
     auto& all = set.by_service[it->entry.service];
     std::erase(all, it);
+    std::erase(group_of(set, it->entry).endpoints, it);
 }
 
 bool is_same_endpoint(const endpoint_entry& a, const endpoint_entry& b) {
@@ -120,7 +136,14 @@
         const bool changed = known.entry.leaving != entry.leaving || known.entry.slots != entry.slots ||
                              known.entry.domain != entry.domain || known.removal_due.has_value() ||
                              known.cold.until > cold_before;
+        const bool moves = known.entry.region != entry.region;
+        if (moves) {
+            remove_from_service(set, found->second);
+        }
         known.entry = std::move(entry);
+        if (moves) {
+            add_to_service(set, found->second);
+        }
         known.removal_due.reset();
         if (cold_before <= now && known.cold.until > now) {
             note_cold_transition(set, known, now);
@@ -134,6 +157,7 @@
     }
     const auto made = std::make_shared<endpoint_state>();
     made->entry = std::move(entry);
+    made->hash = common::stable_hash(made->entry.id);
     restore_former_state(set, *made, now);
     apply_cold_time(set, *made, made->entry, now, replaces);
     set.by_id[made->entry.id] = made;
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -12,6 +12,7 @@
 
 #include "cold_limit.h"
 #include "core/common/clock.h"
+#include "endpoint_work.h"
 #include "sliding_window.h"
 
 namespace lycheegap::traffic {
@@ -37,10 +38,15 @@
     std::uint64_t revision{0};
 };
 
-/// Numbers of requests that an endpoint reported in an answer.
+/// Load that an endpoint reported in an answer.
 struct load_report {
+    /// Numbers of requests.
     int running{0};
     int waiting{0};
+    /// Requests that it serves at the same time; 0 if not stated.
+    int slots{0};
+    /// Time that work takes on its machine now, relative to the usual time; empty if not stated.
+    std::optional<double> pace;
 };
 
 /// Requests of other hosts at an endpoint, smoothed over the load reports.
@@ -62,6 +68,11 @@
 /// State of an endpoint as seen by this host.
 struct endpoint_state {
     endpoint_entry entry;
+    /// Hash of the id, for rendezvous hashing.
+    std::uint64_t hash{0};
+    endpoint_work work;
+    /// Measurements over the endpoint's group; null if it is in no set.
+    std::shared_ptr<group_load> group;
     cold_state cold;
     /// Requests of this host that the endpoint has not answered yet.
     int in_flight{0};
@@ -98,10 +109,19 @@
     common::time_point forget_at;
 };
 
+/// The endpoints of one service in one region.
+struct endpoint_group {
+    std::string region;
+    std::shared_ptr<group_load> load;
+    std::vector<endpoint_ptr> endpoints;
+};
+
 /// All endpoints known to this host, and the state of their failure domains.
 struct endpoint_set {
     std::map<std::string, endpoint_ptr, std::less<>> by_id;
     std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service;
+    /// By name of the service. A group stays when its last endpoint is removed.
+    std::map<std::string, std::vector<endpoint_group>, std::less<>> groups;
     /// Failure domains whose endpoints must get no new work.
     std::set<std::string, std::less<>> vacated_domains;
     /// Failure domains all of whose endpoints count as cold, and until when.
--- a/source/unit_tests/traffic/endpoint_wishes_test.cpp
+++ b/source/unit_tests/traffic/endpoint_wishes_test.cpp
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "core/traffic/placement.h"
+#include "core/traffic/placement_by_load.h"
 
 namespace lycheegap::traffic {
 
@@ -33,7 +33,7 @@
 }
 
 endpoint_ptr place(endpoint_set& set, common::time_point now) {
-    return place_request(set, make_request(), now);
+    return place_by_load(set, make_request(), now);
 }
 
 /// What an endpoint has told the host since the host's last start, by start time of the endpoint.
--- a/source/unit_tests/traffic/heavy_load_test.cpp
+++ b/source/unit_tests/traffic/heavy_load_test.cpp
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "core/traffic/placement.h"
+#include "core/traffic/placement_by_load.h"
 #include "virtual_time.h"
 
 // Simulates the heaviest load stated by the users, in virtual time. Endpoints have little spare capacity and
@@ -63,7 +63,7 @@
 endpoint_ptr place_least_loaded(endpoint_set& set, const placement_request& wanted, common::time_point now) {
     auto any = wanted;
     any.object_key = {};
-    if (auto found = place_request(set, any, now)) {
+    if (auto found = place_by_load(set, any, now)) {
         return found;
     }
     return set.by_service["desk"].front();
@@ -172,7 +172,7 @@
 
 TEST_CASE("under the heaviest load most callers are served in time, unlike with least-loaded placement") {
     for (const std::uint64_t seed : {1, 2, 3}) {
-        const auto result = simulate(seed, 20, place_request);
+        const auto result = simulate(seed, 20, place_by_load);
         const auto baseline = simulate(seed, 20, place_least_loaded);
         CAPTURE(seed);
         CAPTURE(result.in_time);
--- a/source/unit_tests/traffic/placement_test.cpp
+++ b/source/unit_tests/traffic/placement_test.cpp
@@ -1,4 +1,4 @@
-#include "core/traffic/placement.h"
+#include "core/traffic/placement_by_load.h"
 
 #include <map>
 #include <set>
@@ -63,7 +63,7 @@
         auto set = make_set(12);
         for (int n = 0; n < 40; ++n) {
             const auto object = std::to_string(n);
-            seen[object].insert(place_request(set, make_request(object, region), start)->entry.id);
+            seen[object].insert(place_by_load(set, make_request(object, region), start)->entry.id);
         }
     }
     std::set<std::string> used;
@@ -80,40 +80,40 @@
         auto set = make_set(2);
         auto request = make_request(object);
         request.needs_free_slot = true;
-        const auto first = place_request(set, request, start);
+        const auto first = place_by_load(set, request, start);
         REQUIRE(first != nullptr);
         first->in_flight = 6;
-        const auto second = place_request(set, request, start);
+        const auto second = place_by_load(set, request, start);
         REQUIRE(second != nullptr);
         CHECK(second != first);
         note_failure(*second, start);
-        CHECK(place_request(set, request, start) == nullptr);
+        CHECK(place_by_load(set, request, start) == nullptr);
         request.needs_free_slot = false;
-        CHECK(place_request(set, request, start) != nullptr);
+        CHECK(place_by_load(set, request, start) != nullptr);
     }
 }
 
 TEST_CASE(
     "an overloaded endpoint is passed over for the second preferred one, then for any with spare capacity") {
     auto set = make_set(6);
-    const auto first = place_request(set, make_request("object"), start);
+    const auto first = place_by_load(set, make_request("object"), start);
     first->in_flight = 6;
-    const auto second = place_request(set, make_request("object"), start);
+    const auto second = place_by_load(set, make_request("object"), start);
     CHECK(second != first);
     second->in_flight = 6;
     // Both are full: a short wait at a preferred one costs less than an endpoint without the object.
-    const auto third = place_request(set, make_request("object"), start);
+    const auto third = place_by_load(set, make_request("object"), start);
     CHECK((third == first || third == second));
     first->in_flight = 9;
     second->in_flight = 9;
-    const auto fallback = place_request(set, make_request("object"), start);
+    const auto fallback = place_by_load(set, make_request("object"), start);
     REQUIRE(fallback);
     CHECK(fallback != first);
     CHECK(fallback != second);
     for (const auto& [id, it] : set.by_id) {
         it->in_flight = 9;
     }
-    CHECK(place_request(set, make_request("object"), start) == nullptr);
+    CHECK(place_by_load(set, make_request("object"), start) == nullptr);
 }
 
 TEST_CASE("endpoints that were tried, are not allowed or are avoided are not selected") {
@@ -121,17 +121,17 @@
     const std::vector<std::string> regions = {"inland"};
     auto request = make_request("object");
     request.regions = regions;
-    const auto allowed = place_request(set, request, start);
+    const auto allowed = place_by_load(set, request, start);
     CHECK(allowed->entry.region == "inland");
     const std::vector<std::string> tried = {allowed->entry.id};
     request.tried = tried;
-    const auto other = place_request(set, request, start);
+    const auto other = place_by_load(set, request, start);
     REQUIRE(other);
     CHECK(other != allowed);
     CHECK(other->entry.region == "inland");
     note_failure(*other, start);
     request.tried = {};
-    CHECK(place_request(set, request, start) == allowed);
+    CHECK(place_by_load(set, request, start) == allowed);
 }
 
 TEST_CASE("all hosts together keep a cold endpoint's limit within a second") {
@@ -150,7 +150,7 @@
             auto request = make_request("object");
             request.knowledge = {hosts[n], &views[n], start + milliseconds(5000)};
             request.cold_limit = limit;
-            sent += place_request(sets[n], request, start + milliseconds(ms)) != nullptr ? 1 : 0;
+            sent += place_by_load(sets[n], request, start + milliseconds(ms)) != nullptr ? 1 : 0;
         }
     }
     CHECK(sent > 0);
@@ -168,7 +168,7 @@
             auto request = make_request("object");
             request.knowledge = {host, &empty_view, start + milliseconds(5000)};
             request.cold_limit = limit;
-            sent += place_request(set, request, start + milliseconds(ms)) != nullptr ? 1 : 0;
+            sent += place_by_load(set, request, start + milliseconds(ms)) != nullptr ? 1 : 0;
         }
     }
     CHECK(sent <= limit);
@@ -245,14 +245,14 @@
     auto cold = set.by_id["e0"]->entry;
     cold.cold_remaining = milliseconds(5000);
     put_endpoint(set, cold, start);
-    CHECK(place_request(set, request, start) == nullptr);
-    CHECK(place_request(set, request, start + milliseconds(1900)) == nullptr);
-    CHECK(place_request(set, request, start + milliseconds(2000)) != nullptr);
+    CHECK(place_by_load(set, request, start) == nullptr);
+    CHECK(place_by_load(set, request, start + milliseconds(1900)) == nullptr);
+    CHECK(place_by_load(set, request, start + milliseconds(2000)) != nullptr);
     // A new endpoint is used at once, as no host has sent to it yet.
     cold.id = "e9";
     put_endpoint(set, cold, start);
     request.object_key = "";
-    const auto found = place_request(set, request, start);
+    const auto found = place_by_load(set, request, start);
     REQUIRE(found);
     CHECK(found->entry.id == "e9");
 }
@@ -261,31 +261,31 @@
     auto set = make_set(3);
     set.by_id["e0"]->in_flight = 2;
     set.by_id["e1"]->in_flight = 1;
-    CHECK(place_request(set, make_request(""), start)->entry.id == "e2");
+    CHECK(place_by_load(set, make_request(""), start)->entry.id == "e2");
 }
 
 TEST_CASE("an endpoint that does not answer is avoided until it answers again") {
     auto set = make_set(8);
     auto request = make_request("7");
     request.target_latency = milliseconds(400);
-    const auto first = place_request(set, request, start);
+    const auto first = place_by_load(set, request, start);
     note_sent(*first, start);
     // A slow answer is not yet a missing one.
-    CHECK(place_request(set, request, start + milliseconds(1100)) == first);
+    CHECK(place_by_load(set, request, start + milliseconds(1100)) == first);
     const auto late = start + milliseconds(1300);
-    const auto second = place_request(set, request, late);
+    const auto second = place_by_load(set, request, late);
     REQUIRE(second != first);
     // On a route with a higher target latency, the endpoint is avoided later.
     auto slow_route = request;
     slow_route.target_latency = milliseconds(1200);
-    CHECK(place_request(set, slow_route, late) == first);
+    CHECK(place_by_load(set, slow_route, late) == first);
     // Any answer ends the avoidance, even while other requests are in flight.
     note_sent(*first, late);
     note_ended(*first, true, late);
-    CHECK(place_request(set, request, late) == first);
+    CHECK(place_by_load(set, request, late) == first);
     // Without requests in flight, no answer is missing.
     note_ended(*first, false, late);
-    CHECK(place_request(set, request, late + milliseconds(60'000)) == first);
+    CHECK(place_by_load(set, request, late + milliseconds(60'000)) == first);
 }
 
 } // namespace lycheegap::traffic
