--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "core/traffic/fleet_view.h"
 #include "core/traffic/graceful_stop.h"
 #include "core/traffic/load_sharing.h"
+#include "core/traffic/placement.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/rate_part.h"
 #include "core/traffic/retry_share.h"
@@ -36,7 +37,8 @@
     std::string team;
     /// Id of the endpoint that the request is meant for; sent to the endpoint.
     std::string target;
-    /// Load of an endpoint, in its responses: running and waiting requests and slots, separated by commas.
+    /// Load of an endpoint, in its responses: running and waiting requests, slots, and the time that work
+    /// takes in percent of the usual, separated by commas.
     std::string load;
     /// Present in an endpoint's response when it did not run the request.
     std::string not_run;
@@ -58,6 +60,7 @@
     /// Requests of one second that a cold endpoint may get: its cold rate times the factor, plus the slack.
     double cold_overage{1};
     double cold_slack{0};
+    traffic::placement_rule placement{traffic::placement_rule::automatic};
     common::milliseconds stop_time{6000};
     int workers{2};
     /// Bytes that all response bodies together may take while they are read.
@@ -90,8 +93,8 @@
     std::map<std::string, common::time_point, std::less<>> removals_due;
 };
 
-/// Rate limits of the teams: this host's own tokens, and those that it lends as a home. Times of tokens are on
-/// the boot clock.
+/// Rate limits of the teams: this host's own tokens, and those that it lends as a home. Times of tokens are
+/// on the boot clock.
 struct rate_table {
     common::ranked_mutex mutex{common::lock_rank::rate_table};
     /// This host's right to use a part of the limits without asking the homes.
@@ -115,10 +118,11 @@
     std::map<std::string, traffic::retry_share, std::less<>> services;
 };
 
-/// The endpoints that this host knows.
+/// The endpoints that this host knows, and what requests cost at them.
 struct endpoint_table {
     common::ranked_mutex mutex{common::lock_rank::endpoint_table};
     traffic::endpoint_set set;
+    traffic::work_costs costs;
 };
 
 /// Load reports that this host passes on to other hosts.
--- a/source/core/gateway/load_exchange.cpp
+++ b/source/core/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "load_exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <mutex>
 
@@ -20,6 +21,7 @@
 constexpr std::size_t min_sharing_hosts = 30;
 // Partners are in the own region; one that does not answer is asked again at the next interval.
 constexpr milliseconds exchange_timeout{250};
+constexpr double percent = 100;
 
 std::uint16_t to_field(std::int64_t value) {
     return static_cast<std::uint16_t>(
@@ -32,7 +34,8 @@
     records.reserve(loads.size());
     for (const auto& it : loads) {
         records.emplace_back(it.endpoint, to_field(it.load.running), to_field(it.load.waiting),
-                             to_field(common::milliseconds_between(it.at, now)));
+                             to_field(common::milliseconds_between(it.at, now)),
+                             to_field(std::lround(it.load.pace.value_or(0) * percent)));
     }
     return records;
 }
@@ -42,7 +45,11 @@
     std::vector<shared_load> loads;
     loads.reserve(records.size());
     for (const auto& it : records) {
-        loads.push_back({it.endpoint(), {it.running(), it.waiting()}, now - milliseconds{it.age()}});
+        traffic::load_report load{.running = it.running(), .waiting = it.waiting()};
+        if (it.pace() > 0) {
+            load.pace = it.pace() / percent;
+        }
+        loads.push_back({it.endpoint(), load, now - milliseconds{it.age()}});
     }
     std::size_t applied = 0;
     {
--- a/source/core/traffic/load_sharing.cpp
+++ b/source/core/traffic/load_sharing.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/common/digest.h"
+#include "remaining_work.h"
 
 namespace lycheegap::traffic {
 
@@ -82,7 +83,12 @@
     for (const auto& [id, endpoint] : set.by_id) {
         const auto found = by_endpoint.find(load_key(endpoint->entry));
         if (found != by_endpoint.end()) {
-            applied += note_shared_load(*endpoint, found->second->load, found->second->at) ? 1 : 0;
+            auto load = found->second->load;
+            load.slots = endpoint->work.reported_slots;
+            if (note_shared_load(*endpoint, load, found->second->at)) {
+                note_reported_work(*endpoint, load, found->second->at);
+                ++applied;
+            }
         }
     }
     return applied;
--- a/source/core/traffic/rate_home.h
+++ b/source/core/traffic/rate_home.h
@@ -21,8 +21,8 @@
 /// `hosts` hosts would hold too few tokens to use them; the homes then lend all of it.
 rate_limit own_limit(const rate_limit& fleet, double share, std::size_t hosts);
 
-/// Whether a host with the own limit `own` uses tokens of its own. A bucket holds at least one token, so with a
-/// smaller share the buckets of all hosts together would exceed the fleet's limit.
+/// Whether a host with the own limit `own` uses tokens of its own. A bucket holds at least one token, so with
+/// a smaller share the buckets of all hosts together would exceed the fleet's limit.
 bool has_own_tokens(const rate_limit& own);
 
 /// The limit on the tokens that one home lends: its equal share of what the hosts don't hold themselves.
--- a/source/unit_tests/gateway/load_exchange_test.cpp
+++ b/source/unit_tests/gateway/load_exchange_test.cpp
@@ -52,10 +52,10 @@
 TEST_CASE("an exchange applies the sender's reports and answers with the receiver's own ones, each once") {
     const auto state = make_state("host-1");
     const auto now = monotonic::now();
-    keep_load_report(*state, make_entry(3), {5, 2}, now);
+    keep_load_report(*state, make_entry(3), {.running = 5, .waiting = 2}, now);
     schema::load_exchange_t sent;
     sent.host = "host-2";
-    sent.loads = {{traffic::load_key(make_entry(7)), 9, 4, 10}};
+    sent.loads = {{traffic::load_key(make_entry(7)), 9, 4, 10, 0}};
     const auto answer = answer_of(*state, sent);
     REQUIRE(answer.loads.size() == 1);
     CHECK(answer.loads[0].endpoint() == traffic::load_key(make_entry(3)));
@@ -66,10 +66,10 @@
 
 TEST_CASE("a host that is no member gets no reports, and its own are not applied") {
     const auto state = make_state("host-1");
-    keep_load_report(*state, make_entry(3), {5, 2}, monotonic::now());
+    keep_load_report(*state, make_entry(3), {.running = 5, .waiting = 2}, monotonic::now());
     schema::load_exchange_t sent;
     sent.host = "stranger";
-    sent.loads = {{traffic::load_key(make_entry(7)), 9, 4, 10}};
+    sent.loads = {{traffic::load_key(make_entry(7)), 9, 4, 10, 0}};
     CHECK(answer_of(*state, sent).loads.empty());
     CHECK(!state->endpoints.set.by_id.at("e7")->external);
     CHECK(state->loads.sent_until.empty());
@@ -79,7 +79,7 @@
     schema::load_exchange_t sent;
     sent.host = "front-of-a-long-domain-name-12";
     for (std::size_t n = 0; n < traffic::max_loads_per_message; ++n) {
-        sent.loads.emplace_back(traffic::load_key(make_entry(static_cast<int>(n))), 9, 27, 500);
+        sent.loads.emplace_back(traffic::load_key(make_entry(static_cast<int>(n))), 9, 27, 500, 100);
     }
     // Frames and headers of an HTTP/2 stream on an open connection.
     constexpr std::size_t framing_bytes = 100;
@@ -91,7 +91,7 @@
 TEST_CASE("a host that has just started gets all recent reports") {
     const auto state = make_state("host-1");
     for (int n = 0; n < 40; ++n) {
-        keep_load_report(*state, make_entry(n), {n % 9, 0}, monotonic::now());
+        keep_load_report(*state, make_entry(n), {.running = n % 9}, monotonic::now());
     }
     schema::load_exchange_t sent;
     sent.host = "host-2";
--- a/source/unit_tests/gateway/team_rates_test.cpp
+++ b/source/unit_tests/gateway/team_rates_test.cpp
@@ -57,9 +57,8 @@
     const auto config = current_configuration(state);
     int taken = 0;
     for (int n = 0; n < count; ++n) {
-        net::co_spawn(
-            state.io, take_rate_token(state, config->teams.front()),
-            [&taken](const auto&, const auto& retry_after) { taken += retry_after ? 0 : 1; });
+        net::co_spawn(state.io, take_rate_token(state, config->teams.front()),
+                      [&taken](const auto&, const auto& retry_after) { taken += retry_after ? 0 : 1; });
     }
     state.io.restart();
     state.io.run();
--- a/source/unit_tests/traffic/load_sharing_test.cpp
+++ b/source/unit_tests/traffic/load_sharing_test.cpp
@@ -83,7 +83,7 @@
             // 20 answers a second: one of each endpoint every 2 s.
             const int e = std::uniform_int_distribution(0, endpoint_count - 1)(random);
             auto& endpoint = *it.set.by_id.at("e" + std::to_string(e));
-            const load_report report{load_of(e, ms), 0};
+            const load_report report{.running = load_of(e, ms)};
             note_sent(endpoint, at(ms));
             note_report(endpoint, report, at(ms));
             note_ended(endpoint, true, at(ms));
@@ -122,12 +122,12 @@
     put_endpoint(set, make_entry(1), start);
     auto& it = *set.by_id.at("e1");
     note_sent(it, at(0));
-    note_report(it, {3, 0}, at(100));
+    note_report(it, {.running = 3}, at(100));
     note_ended(it, true, at(100));
     const auto key = load_key(it.entry);
-    CHECK(apply_shared_loads(set, {{key, {9, 20}, at(90)}}, at(200)) == 0);
+    CHECK(apply_shared_loads(set, {{key, {.running = 9, .waiting = 20}, at(90)}}, at(200)) == 0);
     CHECK(estimated_load(it, at(100)) == doctest::Approx(3));
-    CHECK(apply_shared_loads(set, {{key, {9, 20}, at(190)}}, at(200)) == 1);
+    CHECK(apply_shared_loads(set, {{key, {.running = 9, .waiting = 20}, at(190)}}, at(200)) == 1);
     CHECK(estimated_load(it, at(200)) > 3);
 }
 
@@ -137,22 +137,22 @@
     auto other_start = make_entry(1);
     other_start.started_unix_ms = 5;
     const auto late = at(static_cast<int>(max_shared_load_age.count()) + 101);
-    CHECK(apply_shared_loads(set, {{load_key(make_entry(2)), {9, 0}, at(90)}}, at(100)) == 0);
-    CHECK(apply_shared_loads(set, {{load_key(other_start), {9, 0}, at(90)}}, at(100)) == 0);
-    CHECK(apply_shared_loads(set, {{load_key(make_entry(1)), {9, 0}, at(100)}}, late) == 0);
+    CHECK(apply_shared_loads(set, {{load_key(make_entry(2)), {.running = 9}, at(90)}}, at(100)) == 0);
+    CHECK(apply_shared_loads(set, {{load_key(other_start), {.running = 9}, at(90)}}, at(100)) == 0);
+    CHECK(apply_shared_loads(set, {{load_key(make_entry(1)), {.running = 9}, at(100)}}, late) == 0);
     CHECK(!set.by_id.at("e1")->external);
 }
 
 TEST_CASE("a message holds the latest reports that the receiver lacks, and no more than its limit") {
     load_log log;
     for (int n = 0; n < 40; ++n) {
-        note_own_load(log, {static_cast<std::uint64_t>(n), {n, 0}, at(n)});
+        note_own_load(log, {static_cast<std::uint64_t>(n), {.running = n}, at(n)});
     }
     const auto first = loads_since(log, common::time_point{}, at(50), max_loads_per_message);
     REQUIRE(first.size() == max_loads_per_message);
     CHECK(first.front().load.running == 39);
     CHECK(first.back().load.running == 24);
-    note_own_load(log, {3, {8, 1}, at(60)});
+    note_own_load(log, {3, {.running = 8, .waiting = 1}, at(60)});
     const auto next = loads_since(log, at(50), at(70), max_loads_per_message);
     REQUIRE(next.size() == 1);
     CHECK(next.front().load.running == 8);
@@ -161,10 +161,10 @@
 TEST_CASE("the log stays bounded, and makes room by dropping outdated reports") {
     load_log log;
     for (std::size_t n = 0; n < max_kept_loads + 100; ++n) {
-        note_own_load(log, {n, {1, 0}, at(0)});
+        note_own_load(log, {n, {.running = 1}, at(0)});
     }
     CHECK(log.latest.size() == max_kept_loads);
-    note_own_load(log, {1'000'000, {1, 0}, at(static_cast<int>(max_shared_load_age.count()) + 1)});
+    note_own_load(log, {1'000'000, {.running = 1}, at(static_cast<int>(max_shared_load_age.count()) + 1)});
     CHECK(log.latest.contains(1'000'000));
     CHECK(log.latest.size() < max_kept_loads);
 }
