--- a/source/core/gateway/work_record.h
+++ b/source/core/gateway/work_record.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "attempt.h"
+#include "core/traffic/work_learning.h"
 
 namespace lycheegap::gateway {
 
@@ -22,8 +23,8 @@
     common::time_point report_before_at;
 };
 
-/// Takes the request off the work of its endpoint and learns from its time. The caller holds the lock of the
-/// endpoint table.
+/// Takes the request off the work of its endpoint, learns from its answer and counts it. The caller holds the
+/// lock of the endpoint table.
 void record_work(gateway_state& state, const ended_attempt& it);
 
 } // namespace lycheegap::gateway
--- a/source/core/traffic/placement_by_work.cpp
+++ b/source/core/traffic/placement_by_work.cpp
@@ -12,7 +12,9 @@
 
 namespace {
 
-// Fraction of the target latency that a request waits in its target region before other regions are considered.
+// Other regions are considered when the target region needs more than this fraction of the target latency to
+// answer, and has the request wait for more than the second one.
+constexpr double home_answer_fraction = 0.8;
 constexpr double home_wait_fraction = 0.25;
 // Fraction of the target latency by which another region must be better: bytes between regions are costly.
 constexpr double crossing_fraction = 0.1;
@@ -202,8 +204,10 @@
 
 /// Whether a choice in the target region is taken without a look at other regions.
 bool serves_at_once(const placement_context& it, const choice& found) {
+    const double target = target_ms(*it.request);
     return found.endpoint != nullptr && !found.avoided &&
-           found.wait_ms <= std::max(target_ms(*it.request) * home_wait_fraction, default_crossing_ms);
+           (found.wait_ms + found.run_ms <= target * home_answer_fraction ||
+            found.wait_ms <= std::max(target * home_wait_fraction, default_crossing_ms));
 }
 
 /// Whether the request would begin early enough to be of use.
--- a/source/core/traffic/remaining_work.cpp
+++ b/source/core/traffic/remaining_work.cpp
@@ -21,6 +21,8 @@
 constexpr double external_age_s = 0.7;
 constexpr double group_smoothing_s = 0.4;
 constexpr double min_group_weight = 0.02;
+// One full endpoint does not tell that its group is full.
+constexpr double max_group_weight = 0.25;
 constexpr double run_weight = 0.02;
 // The shortest time of new connections counts as the round trip; it rises slowly, in case the path changes.
 constexpr double round_trip_weight = 0.05;
@@ -72,10 +74,9 @@
     auto& group = *endpoint.group;
     const double external = std::max(0, report.running + report.waiting - std::max(0, endpoint.in_flight - 1));
     const double utilization = (report.running + report.waiting) / slots_of(endpoint);
-    const bool is_first = group.reported_at == common::time_point{};
-    const double age = common::seconds_between(group.reported_at, now);
+    const double age = std::max(0.0, common::seconds_between(group.reported_at, now));
     const double weight =
-        is_first ? 1 : std::max(min_group_weight, 1 - std::exp(-std::max(0.0, age) / group_smoothing_s));
+        std::clamp(1 - std::exp(-age / group_smoothing_s), min_group_weight, max_group_weight);
     group.external += (external - group.external) * weight;
     group.utilization += (utilization - group.utilization) * weight;
     group.reported_at = now;
