Placement by work: compare regions by cost, and assume a load for regions that no report tells about

A region without reports looked idle and drew requests; an uncached run in a busy region went ahead of a cached one in another.

--- a/source/benchmarks/decision_bench.cpp
+++ b/source/benchmarks/decision_bench.cpp
@@ -11,6 +11,7 @@
 #include "core/schema/generated/peer_generated.h"
 #include "core/steering/endpoint_choice.h"
 #include "core/steering/lookup.h"
+#include "core/traffic/placement_by_work.h"
 #include "core/transport/record_codec.h"
 
 namespace lycheegap::benchmarks {
@@ -72,6 +73,32 @@
         [&] { do_not_optimize(steering::choose_endpoint(states, "region-1", "", now, random)); });
 }
 
+double placement_us(int endpoints) {
+    traffic::endpoint_set set;
+    const auto now = common::time_point(common::milliseconds(1'000'000));
+    for (int n = 0; n < endpoints; ++n) {
+        traffic::endpoint_entry entry;
+        entry.id = fmt::format("worker-{}", n);
+        entry.service = "forecast";
+        entry.address = fmt::format("10.1.{}.{}:80", n / 250, n % 250);
+        entry.region = fmt::format("region-{}", n % 3 + 1);
+        entry.slots = 9;
+        traffic::put_endpoint(set, entry, now);
+    }
+    traffic::work_costs costs;
+    std::uint64_t object = 0;
+    return cpu_time_us([&] {
+        const auto key = std::to_string(++object % 500);
+        traffic::placement_request request;
+        request.service = "forecast";
+        request.route = "read";
+        request.object_key = key;
+        request.region = "region-1";
+        request.target_latency = common::milliseconds(1);
+        do_not_optimize(traffic::place_by_work(set, costs, request, now));
+    });
+}
+
 double peer_message_us() {
     schema::heartbeat_t heartbeat;
     heartbeat.host = "host-17";
@@ -175,6 +202,10 @@
     add("bucket take", bucket_take_us(), "us");
     add("endpoint choice of 16", endpoint_choice_us(16), "us");
     add("endpoint choice of 220", endpoint_choice_us(220), "us");
+    // The target latency is too short for the own region, so that all regions are considered.
+    const double placement_400 = placement_us(400);
+    add("placement among 400 endpoints", placement_400, "us").upper_bound = 25;
+    add("placement, 2600 to 400 endpoints", placement_us(2600) / placement_400, "ratio").upper_bound = 2600.0 / 400 * 1.5;
     add("route match, 8 teams", route_8, "us");
     add("route match, 800 teams", route_800, "us");
     add("peer message encode and decode", peer_message_us(), "us");
--- a/source/core/traffic/placement_by_work.cpp
+++ b/source/core/traffic/placement_by_work.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// Other regions are considered when the target region needs more than this fraction of the target latency to
-// answer, and has the request wait for more than the second one.
+// Other regions are considered when the cost in the target region is more than this fraction of the target
+// latency, unless the first endpoint for the object has the request wait for less than the second one.
 constexpr double home_answer_fraction = 0.8;
 constexpr double home_wait_fraction = 0.25;
 // Fraction of the target latency by which another region must be better: bytes between regions are costly.
@@ -22,6 +22,8 @@
 constexpr double default_crossing_ms = 60;
 // Latest start as a fraction of the target latency, where the work alone takes longer than the rest of it.
 constexpr double min_start_fraction = 0.5;
+// Reports older than this do not tell about the load of a region.
+constexpr common::milliseconds load_validity{2000};
 // Work takes longer at an endpoint that is cold.
 constexpr double cold_run_factor = 1.5;
 // Range in ms of the term that breaks ties. It differs by host, so that hosts with the same view spread.
@@ -32,7 +34,7 @@
 // Requests of one host at an endpoint: its part of the slots if this many hosts use the endpoint at a time,
 // but at least the minimum. Further ones count as waiting.
 constexpr double hosts_per_endpoint = 4;
-constexpr double min_own_requests = 2;
+constexpr double min_own_requests = 4;
 
 /// Mixes a 64-bit value (finalizer of SplitMix64).
 std::uint64_t mix(std::uint64_t value) {
@@ -206,8 +208,9 @@
 bool serves_at_once(const placement_context& it, const choice& found) {
     const double target = target_ms(*it.request);
     return found.endpoint != nullptr && !found.avoided &&
-           (found.wait_ms + found.run_ms <= target * home_answer_fraction ||
-            found.wait_ms <= std::max(target * home_wait_fraction, default_crossing_ms));
+           (found.cost_ms <= target * home_answer_fraction ||
+            (found.rank == 0 && found.wait_ms <= std::max(target * home_wait_fraction, default_crossing_ms)) ||
+            (it.object == 0 && found.wait_ms <= target * home_answer_fraction));
 }
 
 /// Whether the request would begin early enough to be of use.
@@ -229,6 +232,18 @@
     return !found.avoided && requests + 1 <= slots_of(endpoint);
 }
 
+/// Estimates the load of a group that no recent report tells about, from the load of the target region: as if
+/// each region had the same traffic.
+void assume_load(const endpoint_group& home, const endpoint_group& other, common::time_point now) {
+    if (now - other.load->reported_at < load_validity || other.endpoints.empty()) {
+        return;
+    }
+    const double ratio =
+        static_cast<double>(home.endpoints.size()) / static_cast<double>(other.endpoints.size());
+    other.load->external = home.load->external * ratio;
+    other.load->utilization = home.load->utilization * ratio;
+}
+
 choice best_choice(const placement_context& it, std::span<const endpoint_group> groups) {
     const auto& request = *it.request;
     const auto target = request.target_region.empty() ? request.region : request.target_region;
@@ -245,6 +260,9 @@
         if (group.region == target || !is_allowed(request, group.region)) {
             continue;
         }
+        if (home != groups.end()) {
+            assume_load(*home, group, it.now);
+        }
         auto other = best_in_group(it, group);
         const double measured = group.load->round_trip_ms;
         other.round_trip_ms = measured < 0 ? default_crossing_ms : measured;
@@ -278,7 +296,10 @@
 
 placement place_by_work(endpoint_set& set, work_costs& costs, const placement_request& request,
                         common::time_point now) {
-    placement made{.expected_start = now, .expected_end = now, .rule = placement_rule::by_work};
+    placement made;
+    made.expected_start = now;
+    made.expected_end = now;
+    made.rule = placement_rule::by_work;
     const auto groups = set.groups.find(request.service);
     if (groups == set.groups.end()) {
         return made;
--- a/source/core/traffic/remaining_work.cpp
+++ b/source/core/traffic/remaining_work.cpp
@@ -73,7 +73,7 @@
     }
     auto& group = *endpoint.group;
     const double external = std::max(0, report.running + report.waiting - std::max(0, endpoint.in_flight - 1));
-    const double utilization = (report.running + report.waiting) / slots_of(endpoint);
+    const double utilization = std::min(1.0, (report.running + report.waiting) / slots_of(endpoint));
     const double age = std::max(0.0, common::seconds_between(group.reported_at, now));
     const double weight =
         std::clamp(1 - std::exp(-age / group_smoothing_s), min_group_weight, max_group_weight);
--- a/source/unit_tests/traffic/placement_model.cpp
+++ b/source/unit_tests/traffic/placement_model.cpp
@@ -23,6 +23,7 @@
 struct model_host {
     std::string name;
     std::string region;
+    std::size_t region_number{0};
     endpoint_set set;
     work_costs costs;
     fleet_view fleet;
@@ -143,6 +144,7 @@
     }
     const double elapsed = it.now_ms - done->arrived_ms;
     it.result.in_time += elapsed <= it.options.target_ms ? 1 : 0;
+    it.result.in_time_from[host.region_number] += elapsed <= it.options.target_ms ? 1 : 0;
     it.result.late += elapsed > it.options.target_ms && elapsed <= it.options.deadline_ms ? 1 : 0;
     it.result.error_ms +=
         std::abs(elapsed - common::seconds_between(answered.sent_at, done->expected.expected_end) * 1000);
@@ -199,6 +201,7 @@
         .rule = it.options.rule};
     request->expected = place_request(host.set, host.costs, wanted, now);
     it.result.requests += it.counts(*request) ? 1 : 0;
+    it.result.requests_from[host.region_number] += it.counts(*request) ? 1 : 0;
     if (!request->expected.endpoint) {
         it.result.refused += it.counts(*request) ? 1 : 0;
         return;
@@ -239,6 +242,7 @@
             auto made = std::make_unique<model_host>();
             made->name = "host-" + std::to_string(it.hosts.size());
             made->region = "region-" + std::to_string(region);
+            made->region_number = region;
             fleet.names.push_back(made->name);
             it.hosts.push_back(std::move(made));
         }
@@ -269,6 +273,8 @@
     simulation it;
     it.options = options;
     it.random.seed(options.seed);
+    it.result.requests_from.resize(options.regions.size());
+    it.result.in_time_from.resize(options.regions.size());
     add_hosts(it);
     add_endpoints(it);
     add_requests(it);
--- a/source/unit_tests/traffic/placement_model.h
+++ b/source/unit_tests/traffic/placement_model.h
@@ -55,6 +55,9 @@
     int cached{0};
     int uncached{0};
     int crossed{0};
+    /// By region of the caller.
+    std::vector<int> requests_from;
+    std::vector<int> in_time_from;
     /// Requests that the slow endpoint ran.
     int at_slow_endpoint{0};
     /// Sum of the differences between expected and measured times in ms, and of the measured ones.
