Stops, connections and refusals: requests that are being read, idle limits, time to return

A stopping host counted a request from its last byte on and ended in the first moment without one; bodies that were arriving were cut, and requests that had just been passed on.

How long endpoints keep idle connections is learned for each service (traffic/idle_limit), the pool has its own file. Refusals of what has not run carry a time to return, spread over requests.

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -175,11 +175,13 @@
         const std::lock_guard guard(state.endpoints.mutex);
         rest_end = traffic::first_rest_end(state.endpoints.set, wanted, now);
     }
+    // Requests that are refused together don't come back together.
+    const auto spread = common::stable_hash(request_id) % static_cast<std::uint64_t>(room_expected.count());
+    const auto later = milliseconds{static_cast<std::int64_t>(spread)};
     if (!rest_end) {
-        return room_expected;
+        return room_expected / 2 + later;
     }
-    const auto spread = common::stable_hash(request_id) % static_cast<std::uint64_t>(room_expected.count());
-    return std::chrono::ceil<milliseconds>(*rest_end - now) + milliseconds{static_cast<std::int64_t>(spread)};
+    return std::chrono::ceil<milliseconds>(*rest_end - now) + later;
 }
 
 } // namespace lycheegap::gateway
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -1,10 +1,10 @@
 #include "attempt.h"
 
-#include <algorithm>
 #include <mutex>
 
 #include <fmt/format.h>
 
+#include "connection_pool.h"
 #include "core/common/log.h"
 #include "message_headers.h"
 
@@ -21,71 +21,6 @@
 // Covers two round trips between the farthest regions and one lost packet. An unreachable endpoint does not
 // respond to connects at all.
 constexpr milliseconds connect_timeout{450};
-// A request that is not idempotent uses a pooled connection only if at least this much of its idle timeout is
-// left: if the endpoint closed the connection at the same moment, the outcome would be unknown.
-constexpr milliseconds non_idempotent_idle_margin{2500};
-// Idle connections in the pool for each endpoint.
-constexpr std::size_t max_idle_per_endpoint = 8;
-
-/// Key of an endpoint's pool. Includes the start time, so that an endpoint that takes over an id or an
-/// address does not get connections of its predecessor.
-std::string pool_key(const traffic::endpoint_entry& entry) {
-    return fmt::format("{}/{}/{}", entry.address, entry.id, entry.started_unix_ms);
-}
-
-void close_on_strand(const connection_ptr& it) {
-    net::post(it->strand, [it] { it->stream.close(); });
-}
-
-bool is_usable(endpoint_connection& it, bool idempotent, common::time_point now) {
-    const auto needed_until = idempotent ? now : now + non_idempotent_idle_margin;
-    return it.reusable_until > needed_until && is_open_and_idle(it);
-}
-
-connection_ptr take_pooled_connection(gateway_state& state, const std::string& key, bool idempotent) {
-    const auto now = monotonic::now();
-    std::vector<connection_ptr> stale;
-    connection_ptr taken;
-    {
-        const std::lock_guard guard(state.connections.mutex);
-        const auto found = state.connections.idle.find(key);
-        while (!taken && found != state.connections.idle.end() && !found->second.empty()) {
-            const auto last = found->second.back();
-            found->second.pop_back();
-            if (is_usable(*last, idempotent, now)) {
-                taken = last;
-            } else {
-                stale.push_back(last);
-            }
-        }
-    }
-    std::for_each(stale.begin(), stale.end(), close_on_strand);
-    return taken;
-}
-
-connection_ptr acquire_connection(gateway_state& state, const traffic::endpoint_entry& entry,
-                                  bool idempotent) {
-    if (auto kept = take_pooled_connection(state, pool_key(entry), idempotent)) {
-        return kept;
-    }
-    auto made = std::make_shared<endpoint_connection>(net::make_strand(state.io));
-    made->peer = entry.address;
-    common::count(state.metrics, "endpoint_connections");
-    return made;
-}
-
-void return_to_pool(gateway_state& state, const traffic::endpoint_entry& entry, const connection_ptr& it) {
-    if (!it->reusable) {
-        return;
-    }
-    const std::lock_guard guard(state.connections.mutex);
-    auto& idle = state.connections.idle[pool_key(entry)];
-    if (idle.size() < max_idle_per_endpoint) {
-        idle.push_back(it);
-        return;
-    }
-    close_on_strand(it);
-}
 
 /// Whether the endpoint still wants requests: it may have said otherwise since the placement.
 bool wants_requests(gateway_state& state, const traffic::endpoint_state& endpoint) {
@@ -278,6 +213,9 @@
     it->sent_at = monotonic::now();
     it->connection = acquire_connection(state, it->placed.entry, admitted.route->idempotent);
     it->kept_connection = it->connection->connected;
+    if (it->kept_connection) {
+        it->rest = std::chrono::duration_cast<milliseconds>(it->sent_at - it->connection->idle_since);
+    }
     it->request = make_exchange_request(state, pending, admitted, it->placed);
     {
         const std::lock_guard guard(state.endpoints.mutex);
@@ -297,9 +235,17 @@
         // exchange.
         close_on_strand(connection);
     } else {
-        return_to_pool(state, it->placed.entry, connection);
+        release_connection(state, it->placed.entry, connection);
     }
     const auto outcome = exchange.outcome;
+    if (it->kept_connection) {
+        note_kept_exchange(
+            state, it->placed.entry,
+            {.rest = it->rest,
+             .length = std::chrono::duration_cast<milliseconds>(monotonic::now() - it->sent_at),
+             .outcome = outcome,
+             .ended_by = exchange.ended_by});
+    }
     note_requested_rest(state, *it->placed.endpoint, exchange.response);
     const auto report = parse_load_report(exchange.response, state.options.headers.load);
     auto result = classify_result(state.options.headers, std::move(exchange));
@@ -316,21 +262,4 @@
     cancel_exchange(it.connection);
 }
 
-void prune_endpoint_connections(gateway_state& state) {
-    const auto now = monotonic::now();
-    std::vector<connection_ptr> stale;
-    {
-        const std::lock_guard guard(state.connections.mutex);
-        for (auto at = state.connections.idle.begin(); at != state.connections.idle.end();) {
-            auto& idle = at->second;
-            const auto first = std::partition(idle.begin(), idle.end(),
-                                              [&](const auto& it) { return it->reusable_until > now; });
-            stale.insert(stale.end(), first, idle.end());
-            idle.erase(first, idle.end());
-            at = idle.empty() ? state.connections.idle.erase(at) : std::next(at);
-        }
-    }
-    std::for_each(stale.begin(), stale.end(), close_on_strand);
-}
-
 } // namespace lycheegap::gateway
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -43,6 +43,8 @@
     connection_ptr connection;
     /// The connection comes from the pool.
     bool kept_connection{false};
+    /// How long it had been idle there.
+    common::milliseconds rest{0};
     std::shared_ptr<const exchange_request> request;
     cancel_reason cancelled{cancel_reason::none};
     /// Set when the attempt has ended.
@@ -64,7 +66,4 @@
 /// Cancels an attempt that has not ended. Must run on the strand of the caller's connection.
 void cancel_attempt(running_attempt& it, cancel_reason why);
 
-/// Closes pooled connections whose idle timeout has passed, including those of removed endpoints.
-void prune_endpoint_connections(gateway_state& state);
-
 } // namespace lycheegap::gateway
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -133,6 +133,9 @@
         co_await it.socket.async_wait(tcp::socket::wait_read, keep_error(ec));
     }
     it.reading = !ec;
+    // Counts from its first byte, so that a graceful stop waits for the rest of a request that it lets
+    // arrive.
+    auto mark = ec ? nullptr : std::make_unique<in_flight_mark>(state.requests_in_flight);
     set_io_deadline(it, limits.head_time);
     caller_parser parser;
     parser.header_limit(limits.head_bytes);
@@ -161,6 +164,7 @@
     const auto read = std::make_shared<call>();
     read->request = parser.release();
     read->arrived_at = arrived_at;
+    read->in_flight = std::move(mark);
     co_return read;
 }
 
@@ -212,7 +216,6 @@
         }
         it->closing = it->closes_after_reading || !read->request.keep_alive();
         add_call(*it, read);
-        read->in_flight = std::make_unique<in_flight_mark>(state.requests_in_flight);
         net::co_spawn(it->strand, serve_call(state, it, read), net::detached);
     }
     co_await drain_input(*it);
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -73,6 +73,8 @@
     bool reusable{false};
     /// Not to be used from this time on, since the other side may close it.
     common::time_point reusable_until;
+    /// When its last exchange ended; set by the connection pool.
+    common::time_point idle_since;
     /// `cancel_exchange` was called.
     bool cancelled{false};
 };
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -3,8 +3,8 @@
 #include <condition_variable>
 #include <mutex>
 
-#include "attempt.h"
 #include "caller_connection.h"
+#include "connection_pool.h"
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
@@ -19,6 +19,7 @@
 using common::monotonic;
 
 constexpr milliseconds maintenance_interval{250};
+constexpr milliseconds drain_poll_interval{25};
 
 /// Periodic maintenance: prunes connections, answers expired mirror queries, tracks which teams this host is
 /// home of, and removes endpoints and former members that are due.
@@ -56,16 +57,21 @@
     step();
 }
 
-/// Stops the I/O context, which ends the workers, once no request is in flight but not before `earliest`, and
-/// at `due` in any case.
-awaitable<void> stop_when_drained(gateway_state& state, common::time_point earliest, common::time_point due) {
+/// Stops the I/O context, which ends the workers, once nothing is in flight or may still arrive, but not
+/// before `plan.intake_end`, and at `plan.drain_end` in any case.
+awaitable<void> stop_when_drained(gateway_state& state, traffic::stop_plan plan) {
     net::steady_timer timer(state.io);
-    co_await wait_until(timer, earliest);
-    while (state.requests_in_flight > 0 && monotonic::now() < due) {
-        co_await wait_until(timer, monotonic::now() + milliseconds{50});
+    co_await wait_until(timer, plan.intake_end);
+    traffic::drain_progress progress;
+    while (!traffic::may_end(plan, progress, monotonic::now())) {
+        co_await wait_until(timer, monotonic::now() + drain_poll_interval);
+        const int in_flight = state.requests_in_flight;
+        if (in_flight == 0) {
+            // Connections that were accepted while the listener was being closed.
+            end_intake(state);
+        }
+        traffic::note_in_flight(progress, in_flight, monotonic::now());
     }
-    // Time for the last responses to be written.
-    co_await wait_until(timer, monotonic::now() + milliseconds{100});
     state.io.stop();
 }
 
@@ -114,7 +120,7 @@
                              end_intake(state);
                          }),
                   net::detached);
-    net::co_spawn(state.io, stop_when_drained(state, plan.intake_end, plan.drain_end), net::detached);
+    net::co_spawn(state.io, stop_when_drained(state, plan), net::detached);
     for (auto& it : running.workers) {
         it.join();
     }
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "core/traffic/endpoint_set.h"
 #include "core/traffic/fleet_view.h"
 #include "core/traffic/graceful_stop.h"
+#include "core/traffic/idle_limit.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
@@ -119,7 +120,10 @@
 /// Pool of idle connections, by endpoint.
 struct connection_table {
     common::ranked_mutex mutex{common::lock_rank::connection_pool};
+    /// The one that was used last stands last.
     std::map<std::string, std::vector<connection_ptr>, std::less<>> idle;
+    /// How long endpoints keep idle connections, by service.
+    std::map<std::string, traffic::idle_limit, std::less<>> limits;
 };
 
 /// The graceful stop, from its begin.
@@ -145,7 +149,7 @@
 
     gateway_options options;
     common::time_point started_at{common::monotonic::now()};
-    /// Requests in flight: read from callers, until the response is written or the connection is closed.
+    /// Requests in flight: from their first byte until the response is written or the connection is closed.
     /// Outlives `io`, whose handlers may hold requests.
     std::atomic<int> requests_in_flight{0};
     net::io_context io;
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -87,16 +87,16 @@
     finish(state, caller, it, make_refusal(why, it.request), progress, why.reason);
 }
 
-/// Response when no further attempt is made and no endpoint responded.
+/// Response when no further attempt is made and no endpoint responded. A request that has surely not run is
+/// refused as such, with a time to return.
 refusal final_refusal(gateway_state& state, const call& it, const call_progress& progress) {
-    if (monotonic::now() >= progress.admitted.response_deadline) {
-        return {.status = progress.may_have_run ? status_timeout : status_unavailable, .reason = "timed_out"};
-    }
+    const bool is_late = monotonic::now() >= progress.admitted.response_deadline;
     if (progress.may_have_run) {
-        return {.status = status_bad_gateway, .reason = "endpoint_failed"};
+        return is_late ? refusal{.status = status_timeout, .reason = "timed_out"}
+                       : refusal{.status = status_bad_gateway, .reason = "endpoint_failed"};
     }
     return {.status = status_unavailable,
-            .reason = "no_endpoint",
+            .reason = is_late ? "timed_out" : "no_endpoint",
             .retry_after = suggested_retry_after(state, progress.admitted,
                                                  to_view(it.request[state.options.headers.request_id]))};
 }
@@ -345,6 +345,11 @@
         } else if (retry_after) {
             refuse(state, *caller, *pending,
                    {.status = status_too_many, .reason = "rate", .retry_after = retry_after}, progress.get());
+        } else if (is_too_late(state, progress->admitted)) {
+            // The question to the team's home took the time that was left.
+            return_unused_token(state, progress->admitted);
+            refuse(state, *caller, *pending, {.reason = "stopping", .retry_after = stop_retry_after},
+                   progress.get());
         } else {
             co_await run_attempts(state, caller, pending, progress);
         }
--- a/source/core/traffic/graceful_stop.cpp
+++ b/source/core/traffic/graceful_stop.cpp
@@ -14,6 +14,8 @@
 // idempotent cannot be repeated by its caller, so it needs more time.
 constexpr int idempotent_latency_factor = 3;
 constexpr int non_idempotent_latency_factor = 6;
+// Time for the last responses to be written.
+constexpr common::milliseconds settle_time{100};
 
 common::milliseconds fraction_of(common::milliseconds length, double part) {
     return common::milliseconds{static_cast<std::int64_t>(static_cast<double>(length.count()) * part)};
@@ -35,4 +37,16 @@
     return now + request.target_latency * factor <= plan.drain_end;
 }
 
+void note_in_flight(drain_progress& it, int in_flight, common::time_point now) {
+    if (in_flight > 0) {
+        it.idle_since.reset();
+    } else if (!it.idle_since) {
+        it.idle_since = now;
+    }
+}
+
+bool may_end(const stop_plan& plan, const drain_progress& it, common::time_point now) {
+    return now >= plan.drain_end + settle_time || (it.idle_since && now >= *it.idle_since + settle_time);
+}
+
 } // namespace lycheegap::traffic
--- a/source/core/traffic/graceful_stop.h
+++ b/source/core/traffic/graceful_stop.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "core/common/clock.h"
 
 namespace lycheegap::traffic {
@@ -30,4 +32,17 @@
 /// Otherwise it is to be refused, so that the caller can use another host.
 bool may_take(const stop_plan& plan, const stop_candidate& request, common::time_point now);
 
+/// How far a stopping host has come after its intake has ended.
+struct drain_progress {
+    /// Since when nothing has been in flight; empty while something is.
+    std::optional<common::time_point> idle_since;
+};
+
+/// Records how many requests are in flight, those included that are still being read.
+void note_in_flight(drain_progress& it, int in_flight, common::time_point now);
+
+/// Whether the host may end: the time for the drain is over, or nothing has been in flight for long enough
+/// that the last responses are written.
+bool may_end(const stop_plan& plan, const drain_progress& it, common::time_point now);
+
 } // namespace lycheegap::traffic
--- a/source/unit_tests/gateway/planned_stop_test.cpp
+++ b/source/unit_tests/gateway/planned_stop_test.cpp
@@ -64,4 +64,28 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("a planned stop waits for a body that is still arriving, with nothing else in flight") {
+    // Answers after the time that the host takes to end once it is idle.
+    scripted_endpoint endpoint(
+        [](const auto&) { return scripted_reply{.bytes = complete_response("done"), .delay_ms = 500}; });
+    const auto running = start_host(endpoint);
+    const auto head = patient_request_text("/order/1", "q1", "POST", 20'000);
+    const auto request = head.substr(0, head.size() - 2) + "Content-Length: 10\r\n\r\n";
+    std::string answer;
+    std::thread caller([&] {
+        // The intake ends 2100 ms after the stop has begun.
+        answer = send_parts_and_read(running->state->options.request_address,
+                                     std::array<std::string, 3>{request, "12345", "67890"},
+                                     milliseconds(1250), "done");
+    });
+    while (running->state->open_callers == 0) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    stop_gateway(*running);
+    caller.join();
+    CHECK(endpoint.heads().size() == 1);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("done"));
+}
+
 } // namespace lycheegap::gateway
--- a/source/unit_tests/traffic/graceful_stop_test.cpp
+++ b/source/unit_tests/traffic/graceful_stop_test.cpp
@@ -47,4 +47,21 @@
     CHECK_FALSE(may_take(plan, candidate(milliseconds(1000), milliseconds(20'000), true, late), late));
 }
 
+TEST_CASE("a stopping host ends when nothing has been in flight for a while, or when its time is over") {
+    const auto plan = plan_stop(begin, stop_length);
+    drain_progress progress;
+    CHECK_FALSE(may_end(plan, progress, plan.intake_end));
+    note_in_flight(progress, 0, plan.intake_end);
+    CHECK_FALSE(may_end(plan, progress, plan.intake_end + milliseconds(50)));
+    // A request that arrives meanwhile is waited for.
+    note_in_flight(progress, 1, plan.intake_end + milliseconds(60));
+    CHECK_FALSE(may_end(plan, progress, plan.intake_end + milliseconds(1000)));
+    note_in_flight(progress, 0, plan.intake_end + milliseconds(1000));
+    CHECK_FALSE(may_end(plan, progress, plan.intake_end + milliseconds(1050)));
+    CHECK(may_end(plan, progress, plan.intake_end + milliseconds(1100)));
+    note_in_flight(progress, 1, plan.drain_end);
+    CHECK_FALSE(may_end(plan, progress, plan.drain_end));
+    CHECK(may_end(plan, progress, begin + stop_length));
+}
+
 } // namespace lycheegap::traffic
