Divide each service's requests over the regions by bounded shares

Requests changed their region one by one, by an object's order of endpoints in the whole fleet: when a domain is vacated, many change it at once. Each host now holds shares over the regions for a service with enough endpoints, moves them once a second within the fleet's bound, and selects the region of a request by its object. Few requests leave the selected region when it has no room.

--- a/source/core/common/lock_rank.h
+++ b/source/core/common/lock_rank.h
@@ -35,6 +35,8 @@
     outcome_table = 60,
     /// gateway: load reports kept for the other hosts.
     load_table = 65,
+    /// gateway: division of each service's requests over the regions.
+    region_table = 67,
     /// host, gateway: state of the endpoints.
     endpoint_table = 70,
     /// host: random number generator.
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -7,6 +7,7 @@
 #include "core/common/digest.h"
 #include "core/traffic/placement.h"
 #include "message_headers.h"
+#include "region_table.h"
 
 namespace lycheegap::gateway {
 
@@ -73,6 +74,24 @@
     return limit;
 }
 
+/// Picks an endpoint among those of `wanted.regions`; empty when none has room.
+std::optional<placed_call> place_at_endpoint(gateway_state& state, const traffic::placement_request& wanted,
+                                             placement_basis basis) {
+    const auto now = monotonic::now();
+    const std::lock_guard guard(state.endpoints.mutex);
+    basis.expected = traffic::place_request(state.endpoints.set, state.endpoints.costs, wanted, now);
+    auto endpoint = basis.expected.endpoint;
+    if (!endpoint) {
+        return std::nullopt;
+    }
+    basis.placed_at = common::boot_clock::now();
+    basis.is_cold = traffic::is_cold(*endpoint, now);
+    basis.cold = endpoint->cold;
+    basis.cold_room = basis.is_cold ? traffic::cold_room(*endpoint, wanted, now) : 0;
+    auto entry = endpoint->entry;
+    return placed_call{std::move(endpoint), std::move(entry), basis};
+}
+
 } // namespace
 
 std::variant<refusal, admitted_call> admit_call(gateway_state& state, const call& incoming) {
@@ -115,11 +134,12 @@
     const auto fleet = current_fleet(state);
     const auto* service = traffic::find_service(*admitted.config, admitted.service);
     const double cold_rate = service == nullptr ? 0 : service->cold_rate;
-    const traffic::placement_request wanted{
+    const auto target = select_region(state, admitted.service, admitted.affinity_key, admitted.regions);
+    traffic::placement_request wanted{
         .service = admitted.service,
         .object_key = admitted.affinity_key,
         .region = state.options.region,
-        .target_region = {},
+        .target_region = target,
         .regions = admitted.regions,
         .tried = tried,
         .knowledge = membership_knowledge_of(state, *fleet),
@@ -134,19 +154,17 @@
     placement_basis basis;
     basis.hosts = fleet->names.size();
     basis.hosts_confirmed_at = mirror_confirmed_at(state);
-    const auto now = monotonic::now();
-    const std::lock_guard guard(state.endpoints.mutex);
-    basis.expected = traffic::place_request(state.endpoints.set, state.endpoints.costs, wanted, now);
-    auto endpoint = basis.expected.endpoint;
-    if (!endpoint) {
-        return std::nullopt;
+    if (!target.empty()) {
+        wanted.regions = std::span(&target, 1);
+        if (auto placed = place_at_endpoint(state, wanted, basis)) {
+            return placed;
+        }
+        if (!may_leave_region(state, admitted.service, target)) {
+            return std::nullopt;
+        }
+        wanted.regions = admitted.regions;
     }
-    basis.placed_at = common::boot_clock::now();
-    basis.is_cold = traffic::is_cold(*endpoint, now);
-    basis.cold = endpoint->cold;
-    basis.cold_room = basis.is_cold ? traffic::cold_room(*endpoint, wanted, now) : 0;
-    auto entry = endpoint->entry;
-    return placed_call{std::move(endpoint), std::move(entry), basis};
+    return place_at_endpoint(state, wanted, basis);
 }
 
 bool take_retry(gateway_state& state, std::string_view service) {
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
 #include "load_exchange.h"
+#include "region_table.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -22,7 +23,7 @@
 constexpr milliseconds maintenance_interval{250};
 
 /// Periodic maintenance: prunes connections, answers expired mirror queries, tracks which teams this host is
-/// home of, and removes endpoints and former members that are due.
+/// home of, divides services over the regions, and removes endpoints and former members that are due.
 awaitable<void> run_maintenance(gateway_state& state) {
     net::steady_timer timer(state.io);
     while (true) {
@@ -32,6 +33,7 @@
         answer_expired_waiters(state.mirror);
         expire_members(state);
         update_rate_rights(state);
+        update_regions(state);
         std::vector<std::string> gone;
         {
             const std::lock_guard guard(state.endpoints.mutex);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "core/traffic/placement.h"
 #include "core/traffic/rate_home.h"
 #include "core/traffic/rate_part.h"
+#include "core/traffic/region_routing.h"
 #include "core/traffic/retry_share.h"
 #include "endpoint_exchange.h"
 #include "net.h"
@@ -61,6 +62,9 @@
     double cold_overage{1};
     double cold_slack{0};
     traffic::placement_rule placement{traffic::placement_rule::automatic};
+    /// Fraction of a region's requests that may change the region in which they run within two seconds; 0
+    /// divides no service over the regions.
+    double region_shift{0};
     common::milliseconds stop_time{6000};
     int workers{2};
     /// Bytes that all response bodies together may take while they are read.
@@ -133,6 +137,16 @@
     std::map<std::string, common::time_point, std::less<>> sent_until;
 };
 
+/// Division of this host's requests over the regions.
+struct region_table {
+    common::ranked_mutex mutex{common::lock_rank::region_table};
+    /// By name of the service, those that are divided.
+    std::map<std::string, traffic::region_routing, std::less<>> services;
+    traffic::fallback_budget fallbacks;
+    /// When the splits are decided next.
+    common::time_point next_decision;
+};
+
 /// Pool of idle connections, by endpoint.
 struct connection_table {
     common::ranked_mutex mutex{common::lock_rank::connection_pool};
@@ -172,6 +186,7 @@
     rate_table rates;
     retry_table retries;
     load_table loads;
+    region_table regions;
     endpoint_table endpoints;
     connection_table connections;
     caller_table callers;
--- a/source/core/steering/region_split.cpp
+++ b/source/core/steering/region_split.cpp
@@ -1,6 +1,7 @@
 #include "region_split.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 
 namespace lycheegap::steering {
@@ -35,7 +36,7 @@
         return share;
     }
     const double excess_slots = view.used_slots - view.slots * limits.max_load;
-    return excess_slots <= 0 ? 0 : share * std::min(1.0, excess_slots / view.used_slots);
+    return excess_slots <= 0 ? 0 : share * limits.correction * std::min(1.0, excess_slots / view.used_slots);
 }
 
 struct move_state {
@@ -57,6 +58,25 @@
     return moved;
 }
 
+/// Divides `share` over the regions in proportion to the weights; false if no weight is above 0.
+bool spread_share(std::vector<double>& shares, std::span<const double> weights, double share) {
+    const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+    if (total <= 0) {
+        return false;
+    }
+    for (std::size_t n = 0; n < shares.size(); ++n) {
+        shares[n] += share * weights[n] / total;
+    }
+    return true;
+}
+
+std::vector<double> slots_of(std::span<const region_view> views) {
+    std::vector<double> slots;
+    std::transform(views.begin(), views.end(), std::back_inserter(slots),
+                   [](const region_view& it) { return it.slots; });
+    return slots;
+}
+
 } // namespace
 
 region_split make_split(std::span<const region_view> views, std::size_t own_region) {
@@ -75,6 +95,51 @@
     return split;
 }
 
+region_split make_expected_split(std::span<const region_view> views, std::span<const double> demand,
+                                 std::size_t own_region, double expected_load, double max_load) {
+    const auto slots = slots_of(views);
+    const double used = std::accumulate(slots.begin(), slots.end(), 0.0) * expected_load;
+    if (used <= 0 || demand[own_region] <= 0) {
+        return make_split(views, own_region);
+    }
+    std::vector<double> spare(views.size());
+    for (std::size_t n = 0; n < views.size(); ++n) {
+        spare[n] = n == own_region ? 0 : std::max(0.0, slots[n] * max_load - demand[n] * used);
+    }
+    region_split split;
+    split.shares.resize(views.size());
+    split.moved_at.resize(views.size());
+    split.shares[own_region] = std::min(1.0, slots[own_region] * max_load / (demand[own_region] * used));
+    const double rest = 1 - split.shares[own_region];
+    if (!spread_share(split.shares, spare, rest)) {
+        spread_share(split.shares, slots, rest);
+    }
+    return split;
+}
+
+double leave_failed_regions(region_split& split, std::span<const region_view> views,
+                            const split_limits& limits, common::time_point now) {
+    std::vector<double> headroom(views.size());
+    double leaving = 0;
+    for (std::size_t n = 0; n < views.size(); ++n) {
+        headroom[n] = std::max(0.0, views[n].slots * limits.max_load - views[n].used_slots);
+        leaving += views[n].slots > 0 ? 0 : split.shares[n];
+    }
+    const auto slots = slots_of(views);
+    if (leaving <= 0 || (!spread_share(split.shares, headroom, leaving) &&
+                         !spread_share(split.shares, slots, leaving))) {
+        return 0;
+    }
+    for (std::size_t n = 0; n < views.size(); ++n) {
+        if (views[n].slots > 0) {
+            split.moved_at[n] = now;
+        } else {
+            split.shares[n] = 0;
+        }
+    }
+    return leaving;
+}
+
 double rebalance_split(region_split& split, std::span<const region_view> views,
                        const split_position& position, const split_limits& limits, common::time_point now) {
     move_state state{split, limits.shift_cap, now};
@@ -98,12 +163,14 @@
     if (own_view.used_slots >= own_view.slots * limits.max_load * return_load_fraction) {
         return limits.shift_cap - state.remaining;
     }
+    const double kept = std::max(0.0, state.remaining - limits.shift_cap * limits.return_part);
+    state.remaining -= kept;
     for (std::size_t from = 0; from < views.size(); ++from) {
         if (from != own) {
             acceptable[own] -= move_share(state, from, own, acceptable[own]);
         }
     }
-    return limits.shift_cap - state.remaining;
+    return limits.shift_cap - kept - state.remaining;
 }
 
 } // namespace lycheegap::steering
--- a/source/core/steering/region_split.h
+++ b/source/core/steering/region_split.h
@@ -31,6 +31,12 @@
     /// Load of a region, as a fraction of its slots, up to which requests move in and above which they move
     /// out.
     double max_load{0.8};
+    /// Part of `shift_cap` that may move back to the own region, 0 to 1. Below 1 for demand that falls and rises
+    /// again faster than the shares may move.
+    double return_part{1};
+    /// Part of a region's excess that one decision moves, 0 to 1. Below 1 where requests outlast the interval
+    /// between decisions, so that a measurement still counts some that have been moved before.
+    double correction{1};
     /// Measurements this old or older are ignored.
     common::milliseconds measurement_lifetime{3000};
 };
@@ -49,6 +55,17 @@
 /// their slots.
 region_split make_split(std::span<const region_view> views, std::size_t own_region);
 
+/// Initial split before any load is measured, for a service that uses `expected_load` of all its slots.
+/// `demand` is the expected share of all requests that arrive in each region. The own region keeps what fits
+/// below `max_load`; the rest is divided among the others in proportion to what their own requests leave.
+region_split make_expected_split(std::span<const region_view> views, std::span<const double> demand,
+                                 std::size_t own_region, double expected_load, double max_load);
+
+/// Moves the shares of regions without slots to the others at once, whatever the cap: by headroom or, without
+/// any, by slots. Does nothing if no region has slots. Returns the fraction of the requests that moved.
+double leave_failed_regions(region_split& split, std::span<const region_view> views,
+                            const split_limits& limits, common::time_point now);
+
 /// Makes one rebalancing decision: moves requests away from overloaded and failed regions, and back to the
 /// own region when that has headroom. Uses at most this host's share of a region's headroom, moves at most
 /// `shift_cap`, uses the headroom of a measurement only once and ignores measurements that are too old.
