--- a/source/stand_ins/platform_endpoint.cpp
+++ b/source/stand_ins/platform_endpoint.cpp
@@ -34,6 +34,7 @@
 // Longer than any client timeout.
 constexpr milliseconds withheld_response_delay{20'000};
 constexpr int renewals_per_ttl = 3;
+constexpr std::uint64_t longest_answer = 64U << 20U;
 
 /// Waits for the given time or until the endpoint stops; releases the lock meanwhile.
 void wait_unless_stopped(platform_endpoint& endpoint, endpoint_lock& guard, milliseconds duration) {
@@ -63,6 +64,14 @@
                              field("draining", endpoint.draining)});
 }
 
+/// Body of an answer; with the query parameter answer_bytes, filled up to that length.
+std::string answer_body(const http_request& request, std::string_view id) {
+    auto body = fmt::format("body-of-{}", id);
+    const auto length = parse_uint_or(query_parameter(request.head.query, "answer_bytes"), 0);
+    body.resize(std::max<std::size_t>(body.size(), std::min<std::uint64_t>(length, longest_answer)), '.');
+    return body;
+}
+
 /// Runs a request for its service time, or until its deadline.
 http_response run_request(platform_endpoint& endpoint, endpoint_lock& guard, const http_request& request,
                           std::string_view id) {
@@ -83,7 +92,7 @@
             {{"Lycheegap-Request-Id", std::string(id)},
              {"Lycheegap-Response-Seal", "seal-" + std::string(id)},
              {"Lycheegap-Server-Load", load_header(endpoint)}},
-            fmt::format("body-of-{}", id)};
+            answer_body(request, id)};
 }
 
 http_response serve_control(platform_endpoint& endpoint, std::string_view query) {
--- a/source/stand_ins/serve_until_stopped.cpp
+++ b/source/stand_ins/serve_until_stopped.cpp
@@ -17,6 +17,7 @@
 namespace options = boost::program_options;
 
 constexpr int connection_limit = 4096;
+constexpr std::size_t body_limit = 64U << 20U;
 
 } // namespace
 
@@ -55,6 +56,7 @@
     server_options.address = options.address;
     server_options.port = options.port;
     server_options.connection_limit = connection_limit;
+    server_options.body_limit = body_limit;
     auto server = transport::start_http_server(server_options, std::move(handler));
     if (!server) {
         std::cerr << options.name << ": " << common::describe_reason(common::last_reason()) << '\n';
