One memory budget for requests and responses, and no copy of a body for an attempt

Nothing bounded what the bodies of requests took together: each was read whole, copied once for each attempt, and kept with its copies until the answer; trailers and chunk headers had no limit, unfinished heads none together, and the memory of an answer counted only while it was read from its endpoint.

A budget from [machine] memory and the new section [memory] now covers input buffers, heads, bodies and answers. A reservation goes with what it is for: a request's until its last attempt has ended, an answer's until the caller has read it. A request without room is refused with 503, reason "memory", before it is passed on. While three quarters are in use, bodies that miss the rate at which they would be complete in time are ended, largest first. A body is held once and attempts are written from it. A block of trailers or a chunk header must fit the limit of a head. No more callers than max_caller_connections are accepted; surplus connections that have not completed a head are closed like idle ones. Freed bodies go back to the system. Input buffers are released between requests and between exchanges.

Existing tests: the memory of a call is held until its answer is written, which may be a moment after the caller has it, so the tests of endless answers wait up to 2 s for its release. The unfinished body that takes the memory stops further from the limit, since its request counts too; that this state is reached is now checked.

--- a/source/core/common/process.cpp
+++ b/source/core/common/process.cpp
@@ -2,6 +2,8 @@
 
 #include <csignal>
 
+#include <malloc.h>
+
 #include <curl/curl.h>
 #include <sodium.h>
 
@@ -9,6 +11,10 @@
 
 namespace {
 
+// Larger blocks, such as bodies, are mapped, so that freeing one returns its memory to the system. By default
+// glibc raises this limit up to 32 MB as such blocks are freed.
+constexpr int mapped_block_bytes = 128 << 10;
+
 /// Signals that `wait_for_stop` handles.
 sigset_t handled_signals() {
     sigset_t set;
@@ -25,6 +31,7 @@
     const auto set = handled_signals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     return sodium_init() >= 0 && curl_global_init(CURL_GLOBAL_DEFAULT) == 0;
 }
 
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -138,10 +138,11 @@
         };
     }
     made->id_header = names.request_id;
-    made->memory_budget = &state.response_memory;
+    made->budget = &state.call_memory;
+    made->body = it.body;
     const auto left = std::chrono::duration_cast<milliseconds>(admitted.response_deadline - now);
     made->message =
-        forwarded_request(it.request, names,
+        forwarded_request(it.request, it.body->bytes, names,
                           {.team = admitted.team == nullptr ? std::string_view() : admitted.team->name,
                            .target = entry.id,
                            .time_left = left});
@@ -152,21 +153,25 @@
 /// not-run header or status 421 (misdirected request), has not run it.
 attempt_result classify_result(const header_names& names, exchange_result result) {
     if (result.outcome == exchange_outcome::not_sent) {
-        return {attempt_outcome::not_run, {}, std::move(result.reason), result.ended_by};
+        return {attempt_outcome::not_run, {}, std::move(result.reason), result.ended_by, {}};
     }
     if (result.outcome != exchange_outcome::answered) {
         auto reason = fmt::format("{}: {}", exchange_outcome_name(result.outcome), result.reason);
-        return {attempt_outcome::lost, {}, std::move(reason), result.ended_by};
+        return {attempt_outcome::lost, {}, std::move(reason), result.ended_by, {}};
     }
     const auto status = result.response.result_int();
     const bool states_not_run = result.response.find(names.not_run) != result.response.end();
     if (status >= 400 && (states_not_run || status == status_misdirected)) {
-        return {attempt_outcome::not_run, {}, fmt::format("shed with {}", status)};
+        return {attempt_outcome::not_run, {}, fmt::format("shed with {}", status), {}, {}};
     }
     if (status >= first_server_error) {
-        return {attempt_outcome::failed, std::move(result.response), fmt::format("answered {}", status)};
+        return {attempt_outcome::failed,
+                std::move(result.response),
+                fmt::format("answered {}", status),
+                {},
+                std::move(result.memory)};
     }
-    return {attempt_outcome::answered, std::move(result.response), {}};
+    return {attempt_outcome::answered, std::move(result.response), {}, {}, std::move(result.memory)};
 }
 
 /// Updates the load and failure statistics of the endpoint.
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -29,6 +29,8 @@
     std::string reason;
     /// Meaningful unless `answered`.
     exchange_end ended_by{exchange_end::endpoint};
+    /// For the body of the response.
+    transport::memory_reservation memory{};
 };
 
 /// Why this host cancelled an attempt.
--- a/source/core/gateway/call.h
+++ b/source/core/gateway/call.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "held_body.h"
 #include "net.h"
 
 namespace lycheegap::gateway {
@@ -32,7 +33,9 @@
 /// One request of a caller, from its arrival to its response. Accessed only on the strand of the caller's
 /// connection.
 struct call {
+    /// The request's head; its body is in `body`.
     request_message request;
+    held_body_ptr body;
     /// When the head of the request was complete.
     common::time_point arrived_at;
     /// The caller closed its connection; the response is not needed any more.
@@ -42,6 +45,8 @@
     std::unique_ptr<in_flight_mark> in_flight;
     /// Final response; empty while the request is served.
     std::optional<response_message> response;
+    /// For the body of `response`, until the caller has read it.
+    transport::memory_reservation response_memory;
 };
 
 using call_ptr = std::shared_ptr<call>;
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -4,16 +4,13 @@
 #include <iterator>
 #include <mutex>
 
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
 #include "core/common/log.h"
-#include "refusal.h"
+#include "request_reader.h"
 #include "serve_call.h"
 
 namespace lycheegap::gateway {
@@ -24,23 +21,14 @@
 using common::milliseconds;
 using common::monotonic;
 
+constexpr unsigned int status_unavailable = 503;
 // Requests of one connection that are served concurrently; further ones stay unread in the socket.
 constexpr std::size_t pipeline_depth = 8;
-// Time in which the whole body of a request must arrive.
-constexpr milliseconds body_timeout{30000};
-// Bounds how long a caller that does not read its response holds memory.
-constexpr milliseconds write_timeout{10000};
 // Time for a caller to read the last response before its connection is closed.
 constexpr milliseconds linger_timeout{800};
 // Delay after a failed accept, usually for lack of file descriptors.
 constexpr milliseconds accept_retry_delay{100};
 
-using caller_parser = http::request_parser<http::string_body>;
-
-void set_io_deadline(caller_connection& it, milliseconds from_now) {
-    it.io_deadline = (monotonic::now() + from_now).time_since_epoch().count();
-}
-
 void clear_io_deadline(caller_connection& it) {
     it.io_deadline = 0;
 }
@@ -67,11 +55,6 @@
     signal_change(it);
 }
 
-traffic::caller_limits limits_of(gateway_state& state) {
-    const auto config = current_configuration(state);
-    return config ? config->limits : traffic::caller_limits{};
-}
-
 void add_call(caller_connection& it, call_ptr added) {
     it.calls.push_back(std::move(added));
     it.idle = false;
@@ -84,6 +67,10 @@
     added->arrived_at = monotonic::now();
     added->response = make_refusal(why, added->request);
     it.closing = true;
+    if (why.status == status_unavailable) {
+        add_call(it, added);
+        return;
+    }
     common::count(state.metrics, "requests_malformed");
     if (may_log(state)) {
         common::log_info("request_malformed", {field("status", why.status), field("reason", why.reason)});
@@ -91,82 +78,13 @@
     add_call(it, added);
 }
 
-refusal refusal_for(const error_code& ec) {
-    if (ec == http::error::header_limit) {
-        return {.status = 431, .reason = "head_too_large"};
-    }
-    if (ec == http::error::body_limit) {
-        return {.status = 413, .reason = "body_too_large"};
-    }
-    return {.status = 400, .reason = "malformed"};
-}
-
-/// Whether the caller sent an invalid message, as opposed to a closed or broken connection.
-bool is_protocol_error(const error_code& ec) {
-    return ec.category() == make_error_code(http::error::bad_method).category() &&
-           ec != http::error::end_of_stream && ec != http::error::partial_message;
-}
-
-/// Whether another HTTP parser could read the head differently, which would allow request smuggling.
-bool is_ambiguous(const request_message& head) {
-    const auto repeated = [&](http::field name) {
-        const auto range = head.equal_range(name);
-        return std::distance(range.first, range.second) > 1;
-    };
-    return repeated(http::field::host) || repeated(http::field::content_length) ||
-           repeated(http::field::transfer_encoding) ||
-           (head.find(http::field::content_length) != head.end() &&
-            head.find(http::field::transfer_encoding) != head.end());
-}
-
-awaitable<void> write_continue(caller_connection& it) {
-    error_code ec;
-    static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await net::async_write(it.socket, net::buffer(text), keep_error(ec));
-}
-
-/// Reads one request. Null when the connection ended or the request was refused as malformed.
-awaitable<call_ptr> read_call(gateway_state& state, caller_connection& it) {
-    const auto limits = limits_of(state);
-    error_code ec;
-    if (it.input.size() == 0) {
-        co_await it.socket.async_wait(tcp::socket::wait_read, keep_error(ec));
-    }
-    it.reading = !ec;
-    set_io_deadline(it, limits.head_time);
-    caller_parser parser;
-    parser.header_limit(limits.head_bytes);
-    parser.body_limit(limits.body_bytes);
-    co_await http::async_read_header(it.socket, it.input, parser, keep_error(ec));
-    const auto arrived_at = monotonic::now();
-    if (!ec && is_ambiguous(parser.get())) {
-        ec = http::error::bad_content_length;
-    }
-    if (!ec && !parser.is_done()) {
-        set_io_deadline(it, body_timeout);
-        const auto expects = parser.get().find(http::field::expect);
-        if (expects != parser.get().end() && it.calls.empty()) {
-            co_await write_continue(it);
-        }
-        co_await http::async_read(it.socket, it.input, parser, keep_error(ec));
-    }
-    if (ec) {
-        if (is_protocol_error(ec)) {
-            refuse_and_close(state, it, refusal_for(ec));
-        } else {
-            abort_connection(it);
-        }
-        co_return nullptr;
-    }
-    const auto read = std::make_shared<call>();
-    read->request = parser.release();
-    read->arrived_at = arrived_at;
-    co_return read;
-}
-
 /// Reads and discards input until the caller closes: closing a socket with unread input would reset the
 /// connection, and the caller could lose the last response.
 awaitable<void> drain_input(caller_connection& it) {
+    while (it.ended_for_memory && !it.closed) {
+        // Its socket receives nothing any more.
+        co_await wait_for_change(it);
+    }
     error_code ec;
     while (!ec && !it.closed) {
         it.input.clear();
@@ -193,13 +111,19 @@
             continue;
         }
         if (it->calls.empty()) {
-            set_io_deadline(*it, limits_of(state).idle_time);
+            set_io_deadline(*it, monotonic::now() + limits_of(state).idle_time);
         } else {
             clear_io_deadline(*it);
         }
-        const auto read = co_await read_call(state, *it);
+        const auto outcome = co_await read_call(state, *it);
+        const auto& read = outcome.read;
         clear_io_deadline(*it);
         it->reading = false;
+        if (outcome.refused) {
+            refuse_and_close(state, *it, *outcome.refused);
+        } else if (!read) {
+            abort_connection(*it);
+        }
         if (!read || it->closing || it->closed) {
             // A request read after the connection began to close is not served.
             break;
@@ -242,7 +166,7 @@
         first->response->version(first->request.version());
     }
     error_code ec;
-    set_io_deadline(it, write_timeout);
+    set_io_deadline(it, monotonic::now() + state.options.write_time);
     co_await http::async_write(it.socket, *first->response, keep_error(ec));
     it.calls.pop_front();
     if (ec) {
@@ -251,7 +175,7 @@
     if (it.calls.empty()) {
         it.idle_since = monotonic::now().time_since_epoch().count();
         it.idle = true;
-        set_io_deadline(it, limits_of(state).idle_time);
+        set_io_deadline(it, monotonic::now() + limits_of(state).idle_time);
     } else {
         clear_io_deadline(it);
     }
@@ -276,15 +200,16 @@
     }
     error_code ec;
     it->socket.shutdown(tcp::socket::shutdown_send, ec);
-    set_io_deadline(*it, linger_timeout);
+    set_io_deadline(*it, monotonic::now() + linger_timeout);
 }
 
 void start_connection(gateway_state& state, tcp::socket socket, const connection_strand& strand) {
     const auto it = std::make_shared<caller_connection>(strand);
+    it->input_memory = transport::memory_reservation(&state.call_memory);
     it->socket = std::move(socket);
     error_code ec;
     it->socket.set_option(tcp::no_delay(true), ec);
-    set_io_deadline(*it, limits_of(state).idle_time);
+    set_io_deadline(*it, monotonic::now() + limits_of(state).idle_time);
     it->idle_since = monotonic::now().time_since_epoch().count();
     ++state.open_callers;
     {
@@ -301,18 +226,6 @@
     return due != 0 && due <= now.time_since_epoch().count();
 }
 
-std::vector<caller_ptr> open_callers(gateway_state& state) {
-    std::vector<caller_ptr> open;
-    const std::lock_guard guard(state.callers.mutex);
-    std::erase_if(state.callers.open, [](const auto& it) { return it.expired(); });
-    for (const auto& it : state.callers.open) {
-        if (auto held = it.lock()) {
-            open.push_back(std::move(held));
-        }
-    }
-    return open;
-}
-
 /// The longest idle connections, as many as exceed three quarters of the connection limit.
 std::vector<caller_ptr> surplus_idle_connections(const gateway_state& state,
                                                  const std::vector<caller_ptr>& open) {
@@ -322,7 +235,7 @@
         return idle;
     }
     std::copy_if(open.begin(), open.end(), std::back_inserter(idle),
-                 [](const auto& it) { return it->idle.load(); });
+                 [](const auto& it) { return it->idle && it->body_held == 0; });
     std::sort(idle.begin(), idle.end(),
               [](const auto& a, const auto& b) { return a->idle_since.load() < b->idle_since.load(); });
     idle.resize(std::min(idle.size(), static_cast<std::size_t>(state.open_callers - allowed)));
@@ -339,7 +252,7 @@
         it->closing = true;
         error_code ec;
         it->socket.shutdown(tcp::socket::shutdown_send, ec);
-        set_io_deadline(*it, linger_timeout);
+        set_io_deadline(*it, monotonic::now() + linger_timeout);
         return;
     }
     // While the pipeline is full the reader does not read, so it would not notice that the caller has left.
@@ -351,9 +264,36 @@
 
 } // namespace
 
+traffic::caller_limits limits_of(gateway_state& state) {
+    const auto config = current_configuration(state);
+    return config ? config->limits : traffic::caller_limits{};
+}
+
+void set_io_deadline(caller_connection& it, common::time_point due) {
+    it.io_deadline = due.time_since_epoch().count();
+}
+
+std::vector<caller_ptr> open_callers(gateway_state& state) {
+    std::vector<caller_ptr> open;
+    const std::lock_guard guard(state.callers.mutex);
+    std::erase_if(state.callers.open, [](const auto& it) { return it.expired(); });
+    for (const auto& it : state.callers.open) {
+        if (auto held = it.lock()) {
+            open.push_back(std::move(held));
+        }
+    }
+    return open;
+}
+
 awaitable<void> accept_callers(gateway_state& state, std::shared_ptr<tcp::acceptor> listener) {
     net::steady_timer pause(state.io);
     while (listener->is_open()) {
+        if (state.open_callers >= state.options.max_caller_connections) {
+            // Further callers wait in the listen queue until pruning has closed connections.
+            common::count(state.metrics, "accept_pauses");
+            co_await wait_until(pause, monotonic::now() + accept_retry_delay);
+            continue;
+        }
         const auto strand = net::make_strand(state.io);
         tcp::socket socket(strand);
         error_code ec;
@@ -392,7 +332,12 @@
         }
     }
     for (const auto& it : surplus_idle_connections(state, open)) {
-        net::post(it->strand, [it] { close_if_stale(it, true); });
+        net::post(it->strand, [it] {
+            close_if_stale(it, true);
+            if (it->reading && it->calls.empty() && it->body_held == 0 && !it->closing) {
+                abort_connection(*it);
+            }
+        });
     }
 }
 
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <deque>
 #include <memory>
+#include <vector>
 
 #include "call.h"
 #include "gateway_state.h"
@@ -19,6 +20,8 @@
     connection_strand strand;
     tcp::socket socket;
     beast::flat_buffer input;
+    /// For `input`.
+    transport::memory_reservation input_memory;
     /// Requests whose response has not been written yet, oldest first.
     std::deque<call_ptr> calls;
     /// Never expires; cancelled to wake the reader and the writer when `calls`, a response or a flag changed.
@@ -31,6 +34,17 @@
     bool closes_after_reading{false};
     /// The socket is closed.
     bool closed{false};
+    /// The body that is being read was ended because the memory for calls is short.
+    bool ended_for_memory{false};
+    /// Bytes reserved for the request whose body is being read; 0 for none.
+    std::atomic<std::int64_t> body_held{0};
+    std::atomic<std::int64_t> body_received{0};
+    /// Deadline of that body, in ticks of the monotonic clock.
+    std::atomic<common::monotonic::rep> body_due{0};
+    /// Begin of the interval in which the progress of the body is measured, and what had arrived then. Used
+    /// by the periodic maintenance only.
+    common::time_point marked_at;
+    std::int64_t received_at_mark{0};
     /// No request is in flight.
     std::atomic<bool> idle{true};
     /// The limit of concurrent requests is reached; the reader has stopped reading.
@@ -44,6 +58,15 @@
 
 using caller_ptr = std::shared_ptr<caller_connection>;
 
+/// Limits of the configuration in force.
+traffic::caller_limits limits_of(gateway_state& state);
+
+/// Sets the deadline of the current read or write.
+void set_io_deadline(caller_connection& it, common::time_point due);
+
+/// The connections that are open.
+std::vector<caller_ptr> open_callers(gateway_state& state);
+
 /// Accepts connections until the listener is closed.
 awaitable<void> accept_callers(gateway_state& state, std::shared_ptr<tcp::acceptor> listener);
 
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "core/traffic/call_memory.h"
 #include "core/transport/listen_socket.h"
 
 namespace lycheegap::gateway {
@@ -37,6 +38,10 @@
 constexpr common::milliseconds idle_margin{1200};
 // Bytes of a response's framing, such as chunk headers, in addition to one for each byte of its body.
 constexpr std::size_t max_framing_bytes = 1U << 20U;
+// Input buffer while a body is read.
+constexpr std::size_t body_input_bytes = 16U << 10U;
+// A larger input buffer is released between exchanges.
+constexpr std::size_t idle_input_bytes = 4U << 10U;
 // A request with a longer body is written while the response is read, since the endpoint may respond before
 // it has read the body.
 constexpr std::size_t max_inline_body_bytes = 4096;
@@ -57,7 +62,7 @@
 
 exchange_result unanswered(exchange_outcome outcome, std::string reason,
                            exchange_end ended_by = exchange_end::endpoint) {
-    return {outcome, {}, std::move(reason), ended_by};
+    return {outcome, {}, std::move(reason), ended_by, {}};
 }
 
 exchange_outcome classify_error(const endpoint_connection& connection, const error_code& ec) {
@@ -150,26 +155,54 @@
 
 using string_response_parser = http::response_parser<http::string_body>;
 
-/// Reads the rest of a response, checking the memory budget after each read.
+/// Makes room for the next read of a body, within the memory budget. An announced length is no reason to
+/// reserve: what arrives may be less.
+bool reserve_body(string_response_parser& parser, std::size_t more, const exchange_request& request,
+                  transport::memory_reservation& reservation) {
+    auto& body = parser.get().body();
+    if (parser.content_length()) {
+        return transport::reserve_memory(reservation, body.size());
+    }
+    const auto capacity = traffic::grown_body_capacity(
+        body.size(), body.capacity(), more, std::max<std::size_t>(request.body_limit, body.size() + more));
+    if (capacity <= body.capacity()) {
+        return true;
+    }
+    // While the body is moved, both buffers are held.
+    if (!transport::reserve_memory(reservation, std::max(capacity, 2 * body.size()))) {
+        return false;
+    }
+    body.reserve(capacity);
+    return true;
+}
+
+/// Reads the rest of a response, checking the memory budget at each read.
 awaitable<void> read_body(const connection_ptr& connection, const exchange_request& request,
                           string_response_parser& parser, transport::memory_reservation& reservation,
                           error_code& ec) {
     std::size_t received = 0;
+    if (!ec && !parser.is_done()) {
+        connection->input.reserve(body_input_bytes);
+    }
     while (!ec && !parser.is_done()) {
         if (request.max_stall.count() > 0) {
             connection->stream.expires_at(
                 std::min(request.last_deadline,
                          std::max(request.deadline, common::monotonic::now() + request.max_stall)));
         }
+        if (!reserve_body(parser, connection->input.capacity(), request, reservation)) {
+            ec = http::error::body_limit;
+            break;
+        }
         received +=
             co_await http::async_read_some(connection->stream, connection->input, parser, keep_error(ec));
         const auto size = parser.get().body().size();
         if (!ec && received > 2 * size + max_framing_bytes) {
             ec = http::error::bad_chunk_extension;
         }
-        if (!ec && !transport::reserve_memory(reservation, size)) {
-            ec = http::error::body_limit;
-        }
+    }
+    if (!ec && !transport::reserve_memory(reservation, parser.get().body().size())) {
+        ec = http::error::body_limit;
     }
 }
 
@@ -178,7 +211,7 @@
     bool saw_stray = false;
     for (int n = 0; n <= max_stray_responses; ++n) {
         string_response_parser parser;
-        transport::memory_reservation reservation(request.memory_budget);
+        transport::memory_reservation reservation(request.budget);
         parser.header_limit(max_response_header_bytes);
         parser.body_limit(request.body_limit);
         parser.skip(request.message.method() == http::verb::head);
@@ -211,8 +244,13 @@
             continue;
         }
         connection->reusable = !closes && !saw_stray && connection->input.size() == 0;
+        if (connection->input.size() == 0 && connection->input.capacity() > idle_input_bytes) {
+            connection->input.clear();
+            connection->input.shrink_to_fit();
+        }
         connection->reusable_until = idle_deadline(response);
-        co_return exchange_result{exchange_outcome::answered, std::move(response), {}};
+        co_return exchange_result{
+            exchange_outcome::answered, std::move(response), {}, {}, std::move(reservation)};
     }
     co_return unanswered(exchange_outcome::lost, "only responses to other requests arrived");
 }
--- a/source/core/gateway/endpoint_exchange.h
+++ b/source/core/gateway/endpoint_exchange.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "core/transport/response_memory.h"
+#include "core/transport/memory_budget.h"
+#include "held_body.h"
 #include "net.h"
 
 namespace lycheegap::gateway {
@@ -47,13 +48,15 @@
     std::string reason;
     /// Meaningful unless `answered`.
     exchange_end ended_by{exchange_end::endpoint};
+    /// For the body of the response.
+    transport::memory_reservation memory{};
 };
 
 /// Capacity of the read buffer in bytes. A response head or chunk header that does not fit ends the exchange
 /// with an error.
 inline constexpr std::size_t max_buffered_bytes = 128U << 10U;
 
-using transport::response_memory_budget;
+using transport::memory_budget;
 
 /// A connection to an endpoint or to the store. Accessed only on its strand while an exchange runs; in
 /// between by its owner, such as the connection pool.
@@ -81,7 +84,9 @@
 
 /// One request with its deadlines and limits.
 struct exchange_request {
-    request_message message;
+    /// Its body is a view of `body`.
+    outgoing_request message;
+    held_body_ptr body;
     /// For the complete response.
     common::time_point deadline;
     common::time_point connect_deadline;
@@ -102,7 +107,7 @@
     /// Largest response body in bytes.
     std::uint64_t body_limit{64U << 20U};
     /// Budget shared with other exchanges; null applies `body_limit` only.
-    response_memory_budget* memory_budget{nullptr};
+    memory_budget* budget{nullptr};
 };
 
 /// Connects if needed, sends the request and reads its response. Late responses to earlier requests are
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
+#include "request_reader.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -27,6 +28,7 @@
     while (true) {
         co_await wait_until(timer, monotonic::now() + maintenance_interval);
         prune_caller_connections(state, false);
+        end_slow_bodies(state);
         prune_endpoint_connections(state);
         answer_expired_waiters(state.mirror);
         expire_members(state);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 
 #include "core/common/metrics.h"
 #include "core/common/ranked_mutex.h"
+#include "core/traffic/call_memory.h"
 #include "core/traffic/configuration.h"
 #include "core/traffic/directory.h"
 #include "core/traffic/endpoint_set.h"
@@ -58,10 +59,15 @@
     double cold_slack{0};
     common::milliseconds stop_time{6000};
     int workers{2};
-    /// Bytes that all response bodies together may take while they are read.
-    std::int64_t response_memory_bytes{64LL << 20LL};
-    /// Limit of open caller connections. Above half of it responses close their connection; above three
-    /// quarters the longest idle connections are closed.
+    /// Bytes that all requests and responses together may take, from the first byte read until the response
+    /// is written; small ones may take an eighth more.
+    std::int64_t call_memory_bytes{64LL << 20LL};
+    /// Time in which the whole body of a request must arrive.
+    common::milliseconds body_time{30000};
+    /// Time in which a caller must read a response.
+    common::milliseconds write_time{10000};
+    /// Limit of open caller connections; further ones are not accepted. Above half of it responses close
+    /// their connection; above three quarters the longest idle connections are closed.
     int max_caller_connections{1024};
     /// Log lines about requests a second; further ones are dropped and counted.
     double log_lines_per_second{200};
@@ -141,13 +147,17 @@
 /// I/O.
 struct gateway_state {
     explicit gateway_state(gateway_options chosen)
-        : options(std::move(chosen)), response_memory(options.response_memory_bytes) {}
+        : options(std::move(chosen)),
+          call_memory(options.call_memory_bytes,
+                      traffic::limits_around(options.call_memory_bytes).hard_limit) {}
 
     gateway_options options;
     common::time_point started_at{common::monotonic::now()};
     /// Requests in flight: read from callers, until the response is written or the connection is closed.
     /// Outlives `io`, whose handlers may hold requests.
     std::atomic<int> requests_in_flight{0};
+    /// For requests and responses. Outlives `io` too.
+    memory_budget call_memory;
     net::io_context io;
     routing_table routing;
     mirror_table mirror;
@@ -158,7 +168,6 @@
     connection_table connections;
     caller_table callers;
     stop_table stop;
-    response_memory_budget response_memory;
     common::metrics_table metrics;
     /// Connections to the other hosts; null until they are open.
     std::atomic<fleet_link*> link{nullptr};
--- a/source/core/gateway/message_headers.cpp
+++ b/source/core/gateway/message_headers.cpp
@@ -114,9 +114,9 @@
     return common::milliseconds{std::min(*value, max_timeout_ms)};
 }
 
-request_message forwarded_request(const request_message& request, const header_names& names,
-                                  const forwarding_headers& added) {
-    request_message out;
+outgoing_request forwarded_request(const request_message& request, std::string_view body,
+                                   const header_names& names, const forwarding_headers& added) {
+    outgoing_request out;
     out.method_string(request.method_string());
     out.target(request.target());
     out.version(11);
@@ -133,11 +133,11 @@
     if (!added.team.empty()) {
         out.set(names.team, beast::string_view(added.team.data(), added.team.size()));
     }
-    out.body() = request.body();
+    out.body() = {body.data(), body.size()};
     const bool has_body_length =
         request.find(http::field::content_length) != request.end() || request.chunked();
-    if (!request.body().empty() || has_body_length) {
-        out.content_length(request.body().size());
+    if (!body.empty() || has_body_length) {
+        out.content_length(body.size());
     }
     return out;
 }
--- a/source/core/gateway/message_headers.h
+++ b/source/core/gateway/message_headers.h
@@ -36,9 +36,9 @@
 };
 
 /// The request as it is sent to an endpoint: without the caller's key and hop-by-hop headers, with the
-/// headers of `added`.
-request_message forwarded_request(const request_message& request, const header_names& names,
-                                  const forwarding_headers& added);
+/// headers of `added` and a view of `body`.
+outgoing_request forwarded_request(const request_message& request, std::string_view body,
+                                   const header_names& names, const forwarding_headers& added);
 
 /// The endpoint's response as it is sent to the caller: without hop-by-hop headers.
 response_message forwarded_response(response_message response, const request_message& request);
--- a/source/core/gateway/net.h
+++ b/source/core/gateway/net.h
@@ -17,6 +17,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/common/clock.h"
@@ -31,6 +32,8 @@
 using net::ip::tcp;
 
 using request_message = http::request<http::string_body>;
+/// A request whose body is held elsewhere.
+using outgoing_request = http::request<http::span_body<const char>>;
 using response_message = http::response<http::string_body>;
 /// Executor that runs the handlers of one connection one at a time, on any worker.
 using connection_strand = net::strand<net::io_context::executor_type>;
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -42,6 +42,7 @@
     bool may_have_run{false};
     /// Last server error (5xx) of an endpoint; passed on to the caller if no attempt succeeds.
     std::optional<response_message> error_response;
+    transport::memory_reservation error_memory;
     /// Why the last attempt failed, for the log.
     std::string last_reason;
     /// Cancelled when an attempt has ended; expires at `decision_due`.
@@ -170,12 +171,14 @@
                   attempt_result result) {
     progress.last_reason = std::move(result.reason);
     if (result.outcome == attempt_outcome::answered) {
+        it.response_memory = std::move(result.memory);
         finish(state, caller, it, forwarded_response(std::move(result.response), it.request), &progress,
                "answered");
         return;
     }
     if (result.outcome == attempt_outcome::failed) {
         progress.error_response = std::move(result.response);
+        progress.error_memory = std::move(result.memory);
     }
     progress.may_have_run = progress.may_have_run || result.outcome != attempt_outcome::not_run;
 }
@@ -316,6 +319,7 @@
         common::count(state.metrics, "requests_abandoned");
         log_call(state, *it, progress.get(), "abandoned");
     } else if (!it->response && progress->error_response) {
+        it->response_memory = std::move(progress->error_memory);
         finish(state, *caller, *it, forwarded_response(std::move(*progress->error_response), it->request),
                progress.get(), "endpoint_failure");
     } else if (!it->response) {
--- a/source/core/transport/http_client.cpp
+++ b/source/core/transport/http_client.cpp
@@ -29,7 +29,7 @@
 
 /// State of one call, filled by the curl callbacks.
 struct call_state {
-    explicit call_state(response_memory_budget& memory) : reservation(&memory) {}
+    explicit call_state(memory_budget& memory) : reservation(&memory) {}
 
     http_response response;
     memory_reservation reservation;
--- a/source/core/transport/http_client.h
+++ b/source/core/transport/http_client.h
@@ -11,7 +11,7 @@
 #include "core/common/clock.h"
 #include "core/common/ranked_mutex.h"
 #include "http_message.h"
-#include "response_memory.h"
+#include "memory_budget.h"
 
 namespace lycheegap::transport {
 
@@ -54,7 +54,7 @@
     std::string source_address;
     /// Maximum number of idle connections per address.
     std::size_t idle_limit{64};
-    response_memory_budget response_memory{default_response_memory_bytes};
+    memory_budget response_memory{default_response_memory_bytes};
 };
 
 /// Sends a request and blocks until the response, an error or the deadline. The request is sent at most once.
--- a/source/unit_tests/gateway/endless_answer_test.cpp
+++ b/source/unit_tests/gateway/endless_answer_test.cpp
@@ -14,13 +14,25 @@
 namespace {
 
 constexpr std::int64_t body_memory = 1 << 20;
+// With the memory of its request, short of the limit by less than the answer of the other caller.
+constexpr std::int64_t unfinished_bytes = body_memory - 65536;
 
 gateway_options options_with_little_memory() {
     auto made = test_options();
-    made.response_memory_bytes = body_memory;
+    made.call_memory_bytes = body_memory;
     return made;
 }
 
+/// Whether the memory of all calls is released; it may be held for a moment after the caller has the answer.
+bool releases_memory(const test_host& host) {
+    const auto& memory = host.running->state->call_memory;
+    const auto due = common::monotonic::now() + milliseconds(2000);
+    while ((memory.used != 0 || memory.holders != 0) && common::monotonic::now() < due) {
+        std::this_thread::yield();
+    }
+    return memory.used == 0 && memory.holders == 0;
+}
+
 } // namespace
 
 TEST_CASE("an answer without end costs its caller a 502 and the host a bounded memory") {
@@ -35,8 +47,7 @@
         const auto answer =
             send_and_read(host.address(), request_text("/book/1", "q1", "", "POST"), "}", 15'000);
         CHECK((answer.starts_with("HTTP/1.1 502") || answer.starts_with("HTTP/1.1 504")));
-        CHECK(host.running->state->response_memory.used == 0);
-        CHECK(host.running->state->response_memory.holders == 0);
+        CHECK(releases_memory(host));
         CHECK(endpoint.bytes_sent < max_socket_buffers);
     }
 }
@@ -53,14 +64,14 @@
         CHECK(answer.ends_with("whole"));
     }
     CHECK(endpoint.connections == 3);
-    CHECK(host.running->state->response_memory.used == 0);
+    CHECK(releases_memory(host));
 }
 
 TEST_CASE("one body that takes the whole memory does not end the answers of other callers") {
     // Its body stops short of the limit and stays unfinished.
     scripted_endpoint large([](const auto&) {
         return scripted_reply{"HTTP/1.1 200 OK\r\nx-id: @ID@\r\nContent-Length: 9999999\r\n\r\n" +
-                              std::string(body_memory - 4096, 'a')};
+                              std::string(unfinished_bytes, 'a')};
     });
     scripted_endpoint good(
         [](const auto&) { return scripted_reply{complete_response(std::string(100'000, 'b'))}; });
@@ -69,16 +80,17 @@
     std::thread caller(
         [&] { send_and_read(host.address(), patient_request_text("/order/1", "q1", "POST", 3000), "}"); });
     const auto due = common::monotonic::now() + milliseconds(2000);
-    while (host.running->state->response_memory.used < body_memory - 8192 && common::monotonic::now() < due) {
+    while (host.running->state->call_memory.used < unfinished_bytes && common::monotonic::now() < due) {
         std::this_thread::yield();
     }
+    CHECK(host.running->state->call_memory.used >= unfinished_bytes);
     drop_endpoint(*host.running->state, "e1", std::nullopt);
     host.use(good, "e2");
     const auto answer =
         send_and_read(host.address(), request_text("/read/1", "q2"), std::string(100'000, 'b'));
     CHECK(answer.starts_with("HTTP/1.1 200"));
     caller.join();
-    CHECK(host.running->state->response_memory.used == 0);
+    CHECK(releases_memory(host));
 }
 
 } // namespace lycheegap::gateway
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -240,13 +240,18 @@
         const auto bytes = begin + endless;
         scripted_endpoint endpoint([&](const auto&) { return scripted_reply{bytes}; });
         auto options = test_options();
-        options.response_memory_bytes = 1 << 20;
+        options.call_memory_bytes = 1 << 20;
         const test_host host(options);
         host.use(endpoint);
         // Waiting until the request times out would give 504.
         const auto answer = send_and_read(host.address(), request_text("/book/1", "q1", "", "POST"), "}");
         CHECK(answer.starts_with("HTTP/1.1 502"));
-        CHECK(host.running->state->response_memory.used == 0);
+        // Held until the answer has been written.
+        const auto due = common::monotonic::now() + milliseconds(2000);
+        while (host.running->state->call_memory.used != 0 && common::monotonic::now() < due) {
+            std::this_thread::yield();
+        }
+        CHECK(host.running->state->call_memory.used == 0);
     }
 }
 
