--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "core/transport/listen_socket.h"
 #include "load_exchange.h"
 #include "region_table.h"
+#include "request_reader.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -30,6 +31,7 @@
     while (true) {
         co_await wait_until(timer, monotonic::now() + maintenance_interval);
         prune_caller_connections(state, false);
+        end_slow_bodies(state);
         prune_endpoint_connections(state);
         answer_expired_waiters(state.mirror);
         expire_members(state);
--- a/source/core/gateway/region_table.cpp
+++ b/source/core/gateway/region_table.cpp
@@ -45,7 +45,8 @@
     const std::lock_guard guard(state.endpoints.mutex);
     for (const auto& [name, endpoints] : state.endpoints.set.by_service) {
         if (config.services.contains(name)) {
-            found.push_back({name, traffic::regions_of_service(state.endpoints.set, name), endpoints.size(), {}});
+            found.push_back(
+                {name, traffic::regions_of_service(state.endpoints.set, name), endpoints.size(), {}});
         }
     }
     return found;
@@ -131,8 +132,8 @@
         const double cold_slots = config->services.find(service.name)->second.cold_rate * cold_request_s;
         {
             const std::lock_guard guard(state.endpoints.mutex);
-            service.load = traffic::measure_regions(state.endpoints.set, service.name, service.regions,
-                                                    cold_slots, now);
+            service.load =
+                traffic::measure_regions(state.endpoints.set, service.name, service.regions, cold_slots, now);
         }
         update_service(state, service, position, limits, now);
     }
--- a/source/core/steering/region_split.cpp
+++ b/source/core/steering/region_split.cpp
@@ -126,8 +126,8 @@
         leaving += views[n].slots > 0 ? 0 : split.shares[n];
     }
     const auto slots = slots_of(views);
-    if (leaving <= 0 || (!spread_share(split.shares, headroom, leaving) &&
-                         !spread_share(split.shares, slots, leaving))) {
+    if (leaving <= 0 ||
+        (!spread_share(split.shares, headroom, leaving) && !spread_share(split.shares, slots, leaving))) {
         return 0;
     }
     for (std::size_t n = 0; n < views.size(); ++n) {
--- a/source/core/steering/region_split.h
+++ b/source/core/steering/region_split.h
@@ -31,8 +31,8 @@
     /// Load of a region, as a fraction of its slots, up to which requests move in and above which they move
     /// out.
     double max_load{0.8};
-    /// Part of `shift_cap` that may move back to the own region, 0 to 1. Below 1 for demand that falls and rises
-    /// again faster than the shares may move.
+    /// Part of `shift_cap` that may move back to the own region, 0 to 1. Below 1 for demand that falls and
+    /// rises again faster than the shares may move.
     double return_part{1};
     /// Part of a region's excess that one decision moves, 0 to 1. Below 1 where requests outlast the interval
     /// between decisions, so that a measurement still counts some that have been moved before.
--- a/source/core/traffic/region_load.cpp
+++ b/source/core/traffic/region_load.cpp
@@ -13,8 +13,8 @@
 constexpr double assumed_load = 0.6;
 // A long queue at a few endpoints must not count as load of all others.
 constexpr double max_counted_load = 2;
-// A region is unreachable when this part of the endpoints that were used lately, and at least the minimum, have
-// failed.
+// A region is unreachable when this part of the endpoints that were used lately, and at least the minimum,
+// have failed.
 constexpr double unreachable_fraction = 0.8;
 constexpr std::size_t unreachable_min_endpoints = 3;
 // Part of a region's slots that must be warm. Planned work takes one failure domain of a region at a time.
--- a/source/core/traffic/region_load.h
+++ b/source/core/traffic/region_load.h
@@ -24,9 +24,9 @@
 /// Regions of the service's endpoints, sorted.
 std::vector<std::string> regions_of_service(const endpoint_set& set, std::string_view service);
 
-/// Measures the regions: slots of the endpoints that may be used, and the slots in use, estimated from the mean
-/// load of the endpoints with a recent report. A cold endpoint counts as `cold_slots`. A region of which almost
-/// no endpoint answers has no slots. `regions` are sorted.
+/// Measures the regions: slots of the endpoints that may be used, and the slots in use, estimated from the
+/// mean load of the endpoints with a recent report. A cold endpoint counts as `cold_slots`. A region of which
+/// almost no endpoint answers has no slots. `regions` are sorted.
 region_load measure_regions(const endpoint_set& set, std::string_view service,
                             std::span<const std::string> regions, double cold_slots, common::time_point now);
 
--- a/source/core/traffic/region_routing.cpp
+++ b/source/core/traffic/region_routing.cpp
@@ -18,8 +18,8 @@
 constexpr double decisions_per_window = 2;
 // Requests that may have accumulated in the budget. A host of many has less than one per window.
 constexpr double max_fallback_tokens = 2;
-// Mean number of endpoints a region from which a service is divided, and below which it no longer is. With few
-// endpoints a region's load varies too much for shares.
+// Mean number of endpoints a region from which a service is divided, and below which it no longer is. With
+// few endpoints a region's load varies too much for shares.
 constexpr std::size_t min_endpoints_per_region = 12;
 constexpr std::size_t keep_endpoints_per_region = 8;
 // Load above which requests leave a region. The endpoints of a region are loaded unevenly: with more, some of
@@ -35,8 +35,8 @@
 constexpr double smoothing = 0.5;
 // A region that this host uses must report its load. Below this share it may have got no request.
 constexpr double reporting_share = 0.03;
-// Spread of an object's weight between hosts, so that they move it one after another. Otherwise an object with
-// a large part of the requests would move at once.
+// Spread of an object's weight between hosts, so that they move it one after another. Otherwise an object
+// with a large part of the requests would move at once.
 constexpr double weight_spread = 0.1;
 // Fractional part of the golden ratio: its multiples divide any number of requests evenly.
 constexpr double sequence_step = 0.6180339887498949;
@@ -194,10 +194,9 @@
     const auto split_limits = to_split_limits(limits);
     region_shift shift;
     shift.left = steering::leave_failed_regions(routing.split, routing.views, split_limits, now);
-    const steering::split_position split_position{
-        own, std::max<std::size_t>(1, position.host_regions.size()), routing.demand_slots};
-    shift.moved =
-        steering::rebalance_split(routing.split, routing.views, split_position, split_limits, now);
+    const steering::split_position split_position{own, std::max<std::size_t>(1, position.host_regions.size()),
+                                                  routing.demand_slots};
+    shift.moved = steering::rebalance_split(routing.split, routing.views, split_position, split_limits, now);
     return shift;
 }
 
@@ -208,9 +207,8 @@
     }
     routing.in_use = true;
     const auto weights = allowed_weights(routing, position.region, allowed);
-    const auto chosen = object_key.empty()
-                            ? next_in_sequence(routing, weights)
-                            : region_of_object(routing, weights, object_key, position.host);
+    const auto chosen = object_key.empty() ? next_in_sequence(routing, weights)
+                                           : region_of_object(routing, weights, object_key, position.host);
     return chosen < weights.size() ? std::string_view(routing.regions[chosen]) : std::string_view();
 }
 
--- a/source/core/traffic/region_routing.h
+++ b/source/core/traffic/region_routing.h
@@ -12,8 +12,8 @@
 
 namespace lycheegap::traffic {
 
-/// Largest changes of the regions in which this host's requests run. Together they stay below the fleet's bound:
-/// if every host keeps them, so do all hosts of a region.
+/// Largest changes of the regions in which this host's requests run. Together they stay below the fleet's
+/// bound: if every host keeps them, so do all hosts of a region.
 struct region_limits {
     /// Fraction of the requests that one decision moves.
     double shift_cap{0};
@@ -66,14 +66,14 @@
 /// Adds regions that are new. They get no share before a decision moves requests there.
 void add_regions(region_routing& routing, std::span<const std::string> regions);
 
-/// Decides the split anew with what was measured for `routing.regions`: the initial one until a request has been
-/// routed, else the former one with the changes that the limits allow.
+/// Decides the split anew with what was measured for `routing.regions`: the initial one until a request has
+/// been routed, else the former one with the changes that the limits allow.
 region_shift update_routing(region_routing& routing, const region_load& load, const region_position& position,
                             const region_limits& limits, common::time_point now);
 
-/// Region for a request, among those that may serve it (empty allows all); empty if the service is not divided
-/// or none of them can be used. Requests for one object go to the same region as long as the shares stay, and
-/// a change of shares by some fraction moves about that fraction of the objects.
+/// Region for a request, among those that may serve it (empty allows all); empty if the service is not
+/// divided or none of them can be used. Requests for one object go to the same region as long as the shares
+/// stay, and a change of shares by some fraction moves about that fraction of the objects.
 std::string_view choose_region(region_routing& routing, const region_position& position,
                                std::string_view object_key, std::span<const std::string> allowed);
 
--- a/source/unit_tests/traffic/region_model.cpp
+++ b/source/unit_tests/traffic/region_model.cpp
@@ -24,8 +24,9 @@
     region_load load;
     load.own_requests = own_slots;
     for (std::size_t n = 0; n < model_regions; ++n) {
-        load.views.push_back(
-            {model.slots[n], model.slots[n] > 0 ? model.used[n] * error_of(model, host.name, n) : 0, model.now});
+        load.views.push_back({model.slots[n],
+                              model.slots[n] > 0 ? model.used[n] * error_of(model, host.name, n) : 0,
+                              model.now});
         load.reports.push_back(1);
     }
     return load;
@@ -47,8 +48,8 @@
     }
     for (auto& it : model.hosts) {
         add_regions(it.routing, model.names);
-        update_routing(it.routing, measure(model, it, 0), {it.name, model.names[it.region], model.host_regions},
-                       model.limits, model.now);
+        update_routing(it.routing, measure(model, it, 0),
+                       {it.name, model.names[it.region], model.host_regions}, model.limits, model.now);
     }
     return model;
 }
--- a/source/unit_tests/traffic/region_routing_test.cpp
+++ b/source/unit_tests/traffic/region_routing_test.cpp
@@ -8,10 +8,10 @@
 #include "core/traffic/placement.h"
 #include "region_model.h"
 
-// Plays a service whose endpoints are divided unevenly over three regions while the callers are not, with demand
-// that rises and falls in waves, and failure domains that are vacated and come back. The former decision, which
-// ranks an object's endpoints over the whole fleet, sends more requests to other regions and moves more of them
-// at once.
+// Plays a service whose endpoints are divided unevenly over three regions while the callers are not, with
+// demand that rises and falls in waves, and failure domains that are vacated and come back. The former
+// decision, which ranks an object's endpoints over the whole fleet, sends more requests to other regions and
+// moves more of them at once.
 namespace lycheegap::traffic {
 
 namespace {
@@ -68,7 +68,8 @@
     return set;
 }
 
-/// Regions in which all objects run for the callers of a region by the fleet's order of each object's endpoints.
+/// Regions in which all objects run for the callers of a region by the fleet's order of each object's
+/// endpoints.
 region_counts place_in_fleet_order(const region_model& model, endpoint_set& set, std::size_t callers) {
     region_counts ran{};
     for (const auto& object : model.objects) {
