--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -147,7 +147,7 @@
         .needs_free_slot = wait == slot_wait::excluded,
         .cold_limit = cold_rate * state.options.cold_overage + state.options.cold_slack,
         .route = admitted.route->name,
-        .body_bytes = incoming.request.body().size(),
+        .body_bytes = body_size(incoming),
         .response_deadline = admitted.response_deadline,
         .rule = state.options.placement,
     };
--- a/source/core/gateway/call.h
+++ b/source/core/gateway/call.h
@@ -51,4 +51,9 @@
 
 using call_ptr = std::shared_ptr<call>;
 
+/// Size of a request's body in bytes.
+inline std::size_t body_size(const call& it) {
+    return it.body ? it.body->bytes.size() : 0;
+}
+
 } // namespace lycheegap::gateway
--- a/source/core/gateway/work_record.cpp
+++ b/source/core/gateway/work_record.cpp
@@ -38,7 +38,7 @@
     return {.service = admitted.service,
             .route = admitted.route->name,
             .object_key = admitted.affinity_key,
-            .body_bytes = pending.request.body().size(),
+            .body_bytes = body_size(pending),
             .target_latency = admitted.route->target_latency};
 }
 
