--- a/source/unit_tests/steering/region_split_test.cpp
+++ b/source/unit_tests/steering/region_split_test.cpp
@@ -192,4 +192,30 @@
     }
 }
 
+TEST_SUITE("failed_regions") {
+    TEST_CASE("the share of a region without slots goes to the others by headroom") {
+        const time_point now{milliseconds(1000)};
+        const std::vector<region_view> views{{0, 0, now}, {100, 60, now}, {100, 40, now}};
+        region_split split{{0.6, 0.4, 0}, std::vector<time_point>(3)};
+        CHECK(leave_failed_regions(split, views, {}, now) == doctest::Approx(0.6));
+        CHECK(split.shares[0] == 0);
+        CHECK(split.shares[1] == doctest::Approx(0.6));
+        CHECK(split.shares[2] == doctest::Approx(0.4));
+        CHECK(leave_failed_regions(split, views, {}, now) == 0);
+        const std::vector<region_view> all_failed(3);
+        CHECK(leave_failed_regions(split, all_failed, {}, now) == 0);
+        CHECK(split.shares[1] == doctest::Approx(0.6));
+    }
+
+    TEST_CASE("before any load is measured, the own region keeps what fits") {
+        const std::vector<region_view> views{{1000, 0, {}}, {200, 0, {}}, {800, 0, {}}};
+        const std::vector<double> demand(3, 1.0 / 3);
+        CHECK(make_expected_split(views, demand, 0, 0.5, 0.75).shares == std::vector<double>{1, 0, 0});
+        const auto shares = make_expected_split(views, demand, 1, 0.5, 0.75).shares;
+        CHECK(shares[1] == doctest::Approx(200 * 0.75 / (2000 * 0.5 / 3)));
+        CHECK(shares[0] > shares[2]);
+        CHECK(std::accumulate(shares.begin(), shares.end(), 0.0) == doctest::Approx(1));
+    }
+}
+
 } // namespace lycheegap::steering
--- a/source/unit_tests/traffic/region_routing_test.cpp
+++ b/source/unit_tests/traffic/region_routing_test.cpp
@@ -72,15 +72,17 @@
 /// endpoints.
 region_counts place_in_fleet_order(const region_model& model, endpoint_set& set, std::size_t callers) {
     region_counts ran{};
+    work_costs costs;
     for (const auto& object : model.objects) {
         placement_request wanted;
+        wanted.rule = placement_rule::by_load;
         wanted.service = "desk";
         wanted.object_key = object;
         wanted.region = model.names[callers];
-        const auto placed = place_request(set, wanted, model.now);
-        REQUIRE(placed);
+        const auto placed = place_request(set, costs, wanted, model.now);
+        REQUIRE(placed.endpoint);
         for (std::size_t n = 0; n < model_regions; ++n) {
-            ran[n] += placed->entry.region == model.names[n] ? 1 : 0;
+            ran[n] += placed.endpoint->entry.region == model.names[n] ? 1 : 0;
         }
     }
     return ran;
@@ -116,7 +118,7 @@
             auto model = make_region_model(host_count, object_count, slots, max_shift);
             played_seconds seconds;
             for (int n = 0; n < 80; ++n) {
-                // Half of the region's endpoints are vacated, then cold for three seconds.
+                // One of the region's two failure domains is vacated, and taken back.
                 model.slots[vacated] = n >= 30 && n < 45 ? slots[vacated] / 2 : slots[vacated];
                 seconds.push_back(run_second(model, wave_at(n)));
             }
