--- a/source/unit_tests/traffic/region_load_test.cpp
+++ b/source/unit_tests/traffic/region_load_test.cpp
@@ -24,6 +24,13 @@
     return set;
 }
 
+load_report report_of(int running, int waiting) {
+    load_report made;
+    made.running = running;
+    made.waiting = waiting;
+    return made;
+}
+
 const std::vector<std::string> regions{"coast", "inland"};
 
 region_load measure(const endpoint_set& set, common::time_point now = start) {
@@ -36,8 +43,8 @@
     TEST_CASE("the load of a region is estimated from the endpoints with a recent report") {
         auto set = make_set();
         CHECK(regions_of_service(set, "desk") == regions);
-        note_report(*set.by_id["e0"], {6, 0}, start);
-        note_report(*set.by_id["e2"], {10, 4}, start);
+        note_report(*set.by_id["e0"], report_of(6, 0), start);
+        note_report(*set.by_id["e2"], report_of(10, 4), start);
         set.by_id["e1"]->in_flight = 3;
         auto load = measure(set);
         CHECK(load.views[0].slots == 100);
@@ -67,7 +74,7 @@
             note_failure(*set.by_id[id], start);
         }
         CHECK(measure(set).views[0].slots == 0);
-        note_report(*set.by_id["e6"], {1, 0}, start);
+        note_report(*set.by_id["e6"], report_of(1, 0), start);
         CHECK(measure(set).views[0].slots == 100);
         CHECK(measure(set).views[1].slots == 100);
     }
