--- a/source/benchmarks/decision_bench.cpp
+++ b/source/benchmarks/decision_bench.cpp
@@ -205,7 +205,8 @@
     // The target latency is too short for the own region, so that all regions are considered.
     const double placement_400 = placement_us(400);
     add("placement among 400 endpoints", placement_400, "us").upper_bound = 25;
-    add("placement, 2600 to 400 endpoints", placement_us(2600) / placement_400, "ratio").upper_bound = 2600.0 / 400 * 1.5;
+    add("placement, 2600 to 400 endpoints", placement_us(2600) / placement_400, "ratio").upper_bound =
+        2600.0 / 400 * 1.5;
     add("route match, 8 teams", route_8, "us");
     add("route match, 800 teams", route_800, "us");
     add("peer message encode and decode", peer_message_us(), "us");
--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -110,7 +110,8 @@
 }
 
 std::optional<placed_call> place_call(gateway_state& state, const call& incoming,
-                                      const admitted_call& admitted, std::span<const std::string> tried, slot_wait wait) {
+                                      const admitted_call& admitted, std::span<const std::string> tried,
+                                      slot_wait wait) {
     const auto fleet = current_fleet(state);
     const auto* service = traffic::find_service(*admitted.config, admitted.service);
     const double cold_rate = service == nullptr ? 0 : service->cold_rate;
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -62,7 +62,8 @@
 /// Picks the endpoint for the next attempt; empty when none accepts work. `tried` are the ids of the
 /// endpoints tried so far.
 std::optional<placed_call> place_call(gateway_state& state, const call& incoming,
-                                      const admitted_call& admitted, std::span<const std::string> tried, slot_wait wait);
+                                      const admitted_call& admitted, std::span<const std::string> tried,
+                                      slot_wait wait);
 
 /// Takes one retry from the service's retry budget; false when the budget is used up.
 bool take_retry(gateway_state& state, std::string_view service);
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -301,8 +301,7 @@
         traffic::note_sent(*it->placed.endpoint, it->sent_at);
         const auto& expected = it->placed.basis.expected;
         if (expected.rule == traffic::placement_rule::by_work) {
-            it->work_id =
-                traffic::begin_work(*it->placed.endpoint, expected.expected_start, expected.work);
+            it->work_id = traffic::begin_work(*it->placed.endpoint, expected.expected_start, expected.work);
         }
     }
     log_attempt_sent(state, pending, *it);
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -35,8 +35,8 @@
     std::string team;
     /// Id of the endpoint that the request is meant for; sent to the endpoint.
     std::string target;
-    /// Load of an endpoint, in its responses: running and waiting requests, slots, and the time that work takes
-    /// in percent of the usual, separated by commas.
+    /// Load of an endpoint, in its responses: running and waiting requests, slots, and the time that work
+    /// takes in percent of the usual, separated by commas.
     std::string load;
     /// Present in an endpoint's response when it did not run the request.
     std::string not_run;
--- a/source/core/gateway/message_headers.h
+++ b/source/core/gateway/message_headers.h
@@ -48,8 +48,8 @@
 std::optional<common::milliseconds> parse_retry_after(const response_message& response);
 
 /// Load that the endpoint reported in a header "RUNNING,WAITING[,SLOTS[,PERCENT]]"; empty if the header is
-/// missing or one of the first two figures is malformed. PERCENT is the time that work takes there now, 100 for
-/// the usual time.
+/// missing or one of the first two figures is malformed. PERCENT is the time that work takes there now, 100
+/// for the usual time.
 std::optional<traffic::load_report> parse_load_report(const response_message& response,
                                                       std::string_view header);
 
--- a/source/core/gateway/work_record.cpp
+++ b/source/core/gateway/work_record.cpp
@@ -48,18 +48,17 @@
     if (expected.rule != traffic::placement_rule::by_work) {
         return;
     }
-    const auto classified =
-        traffic::note_answered(*attempt.placed.endpoint, state.endpoints.costs,
-                               {.kind = it.kind,
-                                .expected = &expected,
-                                .work_id = attempt.work_id,
-                                .sent_at = attempt.sent_at,
-                                .answered_at = it.ended_at,
-                                .connect_ms = connect_ms(attempt),
-                                .succeeded = it.succeeded,
-                                .report = it.report,
-                                .report_before = it.report_before,
-                                .report_before_at = it.report_before_at});
+    const auto classified = traffic::note_answered(*attempt.placed.endpoint, state.endpoints.costs,
+                                                   {.kind = it.kind,
+                                                    .expected = &expected,
+                                                    .work_id = attempt.work_id,
+                                                    .sent_at = attempt.sent_at,
+                                                    .answered_at = it.ended_at,
+                                                    .connect_ms = connect_ms(attempt),
+                                                    .succeeded = it.succeeded,
+                                                    .report = it.report,
+                                                    .report_before = it.report_before,
+                                                    .report_before_at = it.report_before_at});
     if (it.succeeded) {
         count_answer(state, it, classified);
     }
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -58,8 +58,8 @@
 struct placement {
     /// Null if no endpoint has room for the request.
     endpoint_ptr endpoint;
-    /// When the endpoint is expected to begin with the request, and when its answer arrives. Both are the time
-    /// of the placement if the endpoint was selected by load.
+    /// When the endpoint is expected to begin with the request, and when its answer arrives. Both are the
+    /// time of the placement if the endpoint was selected by load.
     common::time_point expected_start;
     common::time_point expected_end;
     /// Rank of the endpoint for the object in its region; `ranked_endpoints` for all others.
--- a/source/core/traffic/placement_by_load.cpp
+++ b/source/core/traffic/placement_by_load.cpp
@@ -20,6 +20,7 @@
 constexpr double max_queueing_load = 1.4;
 // Relative load below which an endpoint that is not preferred for the object may take the request.
 constexpr double max_fallback_load = 0.75;
+
 struct candidate {
     endpoint_ptr endpoint;
     /// Rendezvous rank for the object; the highest ones are preferred.
--- a/source/core/traffic/placement_by_work.cpp
+++ b/source/core/traffic/placement_by_work.cpp
@@ -22,6 +22,11 @@
 constexpr double default_crossing_ms = 60;
 // Latest start as a fraction of the target latency, where the work alone takes longer than the rest of it.
 constexpr double min_start_fraction = 0.5;
+// An endpoint is avoided after this many consecutive failures; before, each costs a fraction of the target
+// latency. One that turns part of its requests away still answers the others from its cache.
+constexpr int max_doubtful_failures = 2;
+constexpr double failure_fraction = 0.25;
+constexpr common::milliseconds doubtful_silence{800};
 // Reports older than this do not tell about the load of a region.
 constexpr common::milliseconds load_validity{2000};
 // Work takes longer at an endpoint that is cold.
@@ -118,7 +123,8 @@
 /// Whether the endpoint can be selected now.
 bool is_usable(const placement_context& it, endpoint_state& endpoint) {
     const auto& request = *it.request;
-    if (is_resting(endpoint, it.now) || (is_cold(endpoint, it.now) && cold_room(endpoint, request, it.now) < 1)) {
+    if (is_resting(endpoint, it.now) ||
+        (is_cold(endpoint, it.now) && cold_room(endpoint, request, it.now) < 1)) {
         return false;
     }
     const auto& tried = request.tried;
@@ -130,14 +136,24 @@
            (it.tests_domains && it.set->vacated_domains.contains(endpoint.entry.domain));
 }
 
-/// Wait and avoidance of an endpoint; the cost has the wait only.
+bool is_doubtful(const placement_context& it, const endpoint_state& endpoint) {
+    return endpoint.avoided_until > it.now && endpoint.consecutive_failures <= max_doubtful_failures &&
+           (!endpoint.silent_since || it.now - *endpoint.silent_since <= doubtful_silence);
+}
+
+double target_ms(const placement_request& request) {
+    return static_cast<double>(request.target_latency.count());
+}
+
+/// Wait and avoidance of an endpoint; the cost has no work yet.
 choice make_choice(const placement_context& it, const endpoint_ptr& owner) {
     auto& endpoint = *owner;
     choice made;
     made.pace = pace_of(endpoint, it.now) * (is_cold(endpoint, it.now) ? cold_run_factor : 1);
     made.endpoint = &endpoint;
     made.owner = &owner;
-    made.avoided = is_avoided(endpoint, *it.request, it.now);
+    const bool doubtful = is_doubtful(it, endpoint);
+    made.avoided = !doubtful && is_avoided(endpoint, *it.request, it.now);
     made.wait_ms = expected_wait_ms(endpoint, it.forecast.cached_ms, it.now) * made.pace;
     const double own_limit = std::max(min_own_requests, slots_of(endpoint) * it.slot_share);
     const double excess = static_cast<double>(endpoint.work.own.size()) + 1 - own_limit;
@@ -146,6 +162,9 @@
     }
     const auto tie = static_cast<double>(mix(endpoint.hash ^ it.tie_seed) >> 40U) / (1U << 24U);
     made.cost_ms = made.wait_ms + tie * tie_range_ms;
+    if (doubtful) {
+        made.cost_ms += endpoint.consecutive_failures * failure_fraction * target_ms(*it.request);
+    }
     return made;
 }
 
@@ -200,16 +219,13 @@
            std::find(request.regions.begin(), request.regions.end(), region) != request.regions.end();
 }
 
-double target_ms(const placement_request& request) {
-    return static_cast<double>(request.target_latency.count());
-}
-
 /// Whether a choice in the target region is taken without a look at other regions.
 bool serves_at_once(const placement_context& it, const choice& found) {
     const double target = target_ms(*it.request);
     return found.endpoint != nullptr && !found.avoided &&
            (found.cost_ms <= target * home_answer_fraction ||
-            (found.rank == 0 && found.wait_ms <= std::max(target * home_wait_fraction, default_crossing_ms)) ||
+            (found.rank == 0 &&
+             found.wait_ms <= std::max(target * home_wait_fraction, default_crossing_ms)) ||
             (it.object == 0 && found.wait_ms <= target * home_answer_fraction));
 }
 
@@ -228,7 +244,8 @@
 /// Whether a slot is expected to be free.
 bool has_free_slot(const placement_context& it, const choice& found) {
     const auto& endpoint = *found.endpoint;
-    const double requests = static_cast<double>(endpoint.work.own.size()) + external_requests(endpoint, it.now);
+    const double requests =
+        static_cast<double>(endpoint.work.own.size()) + external_requests(endpoint, it.now);
     return !found.avoided && requests + 1 <= slots_of(endpoint);
 }
 
--- a/source/core/traffic/remaining_work.cpp
+++ b/source/core/traffic/remaining_work.cpp
@@ -72,7 +72,8 @@
         return;
     }
     auto& group = *endpoint.group;
-    const double external = std::max(0, report.running + report.waiting - std::max(0, endpoint.in_flight - 1));
+    const double external =
+        std::max(0, report.running + report.waiting - std::max(0, endpoint.in_flight - 1));
     const double utilization = std::min(1.0, (report.running + report.waiting) / slots_of(endpoint));
     const double age = std::max(0.0, common::seconds_between(group.reported_at, now));
     const double weight =
--- a/source/core/traffic/remaining_work.h
+++ b/source/core/traffic/remaining_work.h
@@ -42,8 +42,8 @@
     common::time_point report_before_at;
 };
 
-/// Time in ms for which the endpoint worked on the request, at the usual pace of its machine. Empty unless the
-/// endpoint surely had a free slot.
+/// Time in ms for which the endpoint worked on the request, at the usual pace of its machine. Empty unless
+/// the endpoint surely had a free slot.
 std::optional<double> measured_run_ms(const endpoint_state& endpoint, const measured_answer& answer);
 
 /// Adapts the endpoint's speed to a measured time, and the mean work of its group.
--- a/source/core/traffic/work_cost.cpp
+++ b/source/core/traffic/work_cost.cpp
@@ -248,7 +248,8 @@
     if (rank < ranked_endpoints) {
         auto& answers = object.answers[rank];
         answers = std::min<std::uint8_t>(answers + 1, max_counted_answers);
-        object.cached_share[rank] += (static_cast<float>(value) - object.cached_share[rank]) / static_cast<float>(answers);
+        object.cached_share[rank] +=
+            (static_cast<float>(value) - object.cached_share[rank]) / static_cast<float>(answers);
     }
 }
 
@@ -307,7 +308,8 @@
     note_share(of, object, std::min(sample.rank, ranked_endpoints), is_cached);
     const double usual_ms = is_cached ? of.cached_ms : of.uncached_ms;
     const auto relative = static_cast<float>(std::log(ms / usual_ms));
-    object.relative_log += (std::clamp(relative, -max_relative_log, max_relative_log) - object.relative_log) * relative_weight;
+    object.relative_log +=
+        (std::clamp(relative, -max_relative_log, max_relative_log) - object.relative_log) * relative_weight;
     return is_cached ? answer_class::cached : answer_class::uncached;
 }
 
--- a/source/core/traffic/work_learning.cpp
+++ b/source/core/traffic/work_learning.cpp
@@ -14,14 +14,14 @@
     if (!it.succeeded) {
         return answer_class::unknown;
     }
-    const auto run_ms =
-        measured_run_ms(endpoint, {.sent_at = it.sent_at,
-                                   .answered_at = it.answered_at,
-                                   .connect_ms = it.connect_ms,
-                                   .expected_to_wait = it.expected->expected_start - it.sent_at > negligible_wait,
-                                   .report = *it.report,
-                                   .report_before = it.report_before,
-                                   .report_before_at = it.report_before_at});
+    const auto run_ms = measured_run_ms(
+        endpoint, {.sent_at = it.sent_at,
+                   .answered_at = it.answered_at,
+                   .connect_ms = it.connect_ms,
+                   .expected_to_wait = it.expected->expected_start - it.sent_at > negligible_wait,
+                   .report = *it.report,
+                   .report_before = it.report_before,
+                   .report_before_at = it.report_before_at});
     if (!run_ms) {
         return answer_class::unknown;
     }
--- a/source/unit_tests/traffic/placement_by_work_test.cpp
+++ b/source/unit_tests/traffic/placement_by_work_test.cpp
@@ -47,8 +47,8 @@
     note_reported_work(endpoint, report, start);
 }
 
-/// Regions of unequal room under a wave of load, with machines that slow down for moments. The second region's
-/// room suffices for 170 requests per second.
+/// Regions of unequal room under a wave of load, with machines that slow down for moments. The second
+/// region's room suffices for 170 requests per second.
 model_options uneven_regions(std::uint64_t seed, placement_rule rule, double second_rate) {
     model_options made;
     made.seed = seed;
--- a/source/unit_tests/traffic/work_cost_test.cpp
+++ b/source/unit_tests/traffic/work_cost_test.cpp
@@ -69,7 +69,8 @@
     CHECK(after.uncached_ms < before.uncached_ms * 1.25);
 }
 
-TEST_CASE("the share of cached answers is learned by rank, and for an object that is known by its own answers") {
+TEST_CASE(
+    "the share of cached answers is learned by rank, and for an object that is known by its own answers") {
     work_costs costs;
     for (int n = 0; n < 200; ++n) {
         note_work(costs, {.kind = make_kind("busy"), .run_ms = 500, .rank = 1});
