--- a/source/unit_tests/gateway/planned_stop_test.cpp
+++ b/source/unit_tests/gateway/planned_stop_test.cpp
@@ -69,7 +69,7 @@
     scripted_endpoint endpoint(
         [](const auto&) { return scripted_reply{.bytes = complete_response("done"), .delay_ms = 500}; });
     const auto running = start_host(endpoint);
-    const auto head = patient_request_text("/order/1", "q1", "POST", 20'000);
+    const auto head = patient_request_text("/patient/1", "q1", "POST");
     const auto request = head.substr(0, head.size() - 2) + "Content-Length: 10\r\n\r\n";
     std::string answer;
     std::thread caller([&] {
--- a/source/unit_tests/platform/registration_test.cpp
+++ b/source/unit_tests/platform/registration_test.cpp
@@ -102,19 +102,14 @@
 
     /// Plays the host until nothing is due; at most ten steps.
     void settle() {
-        for (int n = 0; n < 10 && step() != registration_step::wait; ++n) {
-            switch (step()) {
-            case registration_step::obtain_lease:
+        for (int n = 0; n < 10; ++n) {
+            const auto due = step();
+            if (due == registration_step::obtain_lease) {
                 obtain_lease();
-                break;
-            case registration_step::renew_lease:
+            } else if (due == registration_step::renew_lease) {
                 renew();
-                break;
-            case registration_step::write_entry:
+            } else if (due == registration_step::write_entry) {
                 write();
-                break;
-            case registration_step::wait:
-                break;
             }
         }
     }
