Kept connections: requests that may be repeated are not bound by learned closures

The unit tests of idle_limit pass; the pool is compiled, the whole unit tests were not run on this commit.

--- a/source/core/gateway/connection_pool.cpp
+++ b/source/core/gateway/connection_pool.cpp
@@ -31,23 +31,16 @@
     return std::chrono::duration_cast<milliseconds>(now - it.idle_since);
 }
 
-/// How long a connection may have been idle to carry the request; empty for any time.
-std::optional<milliseconds> allowed_rest(const traffic::idle_limit& limit, bool idempotent,
-                                         common::time_point now) {
-    return idempotent ? traffic::longest_rest(limit, now)
-                      : std::optional(traffic::longest_sure_rest(limit, now));
-}
-
 /// Takes the connection that was used last, if it is young enough. An older one stays for requests that may
 /// be repeated; one that is closed or out of time moves to `stale`.
 connection_ptr take_idle(std::vector<connection_ptr>& idle, const traffic::endpoint_entry& entry,
                          traffic::idle_limit& limit, bool idempotent, std::vector<connection_ptr>& stale) {
     const auto now = monotonic::now();
     while (!idle.empty()) {
-        const auto last = idle.back();
+        auto last = idle.back();
         const auto rest = rest_of(*last, now);
-        const auto allowed = allowed_rest(limit, idempotent, now);
-        if (allowed && rest >= *allowed && last->reusable_until > now) {
+        const bool is_sure = idempotent || rest < traffic::longest_sure_rest(limit, now);
+        if (!is_sure && last->reusable_until > now) {
             return nullptr;
         }
         idle.pop_back();
--- a/source/core/traffic/idle_limit.cpp
+++ b/source/core/traffic/idle_limit.cpp
@@ -41,20 +41,6 @@
     }
 }
 
-std::optional<milliseconds> longest_rest(const idle_limit& limit, common::time_point now) {
-    std::optional<milliseconds> shortest;
-    for (const auto& it : limit.closures) {
-        const bool is_confirmed =
-            std::any_of(limit.closures.begin(), limit.closures.end(), [&](const idle_closure& other) {
-                return other.endpoint != it.endpoint && is_remembered(other, now) && other.rest <= it.rest;
-            });
-        if (is_remembered(it, now) && is_confirmed && (!shortest || it.rest < *shortest)) {
-            shortest = it.rest;
-        }
-    }
-    return shortest;
-}
-
 milliseconds longest_sure_rest(const idle_limit& limit, common::time_point now) {
     auto sure = now - limit.survived_at < survivor_memory ? limit.survived / sure_divisor : milliseconds{0};
     for (const auto& it : limit.closures) {
--- a/source/core/traffic/idle_limit.h
+++ b/source/core/traffic/idle_limit.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 #include "core/common/clock.h"
@@ -35,10 +34,6 @@
 /// Records that a request was answered over a connection which had been idle for `rest`.
 void note_idle_survived(idle_limit& limit, common::milliseconds rest, common::time_point now);
 
-/// Longest rest after which a connection may carry a request that may be repeated; empty when only the time
-/// that the endpoint states bounds it. One endpoint alone does not decide: it may have restarted.
-std::optional<common::milliseconds> longest_rest(const idle_limit& limit, common::time_point now);
-
 /// Longest rest after which a connection may carry a request that must not be repeated. Without evidence of
 /// recent survivors, only a short one.
 common::milliseconds longest_sure_rest(const idle_limit& limit, common::time_point now);
