--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -89,8 +89,8 @@
     std::map<std::string, common::time_point, std::less<>> removals_due;
 };
 
-/// Rate limits of the teams: this host's own tokens, and those that it lends as a home. Times of tokens are on
-/// the boot clock.
+/// Rate limits of the teams: this host's own tokens, and those that it lends as a home. Times of tokens are
+/// on the boot clock.
 struct rate_table {
     common::ranked_mutex mutex{common::lock_rank::rate_table};
     /// This host's right to use a part of the limits without asking the homes.
--- a/source/core/gateway/team_rates.h
+++ b/source/core/gateway/team_rates.h
@@ -15,8 +15,8 @@
 /// Returns the token of a request that did not run.
 void return_rate_token(gateway_state& state, const traffic::team& from);
 
-/// Updates this host's rights to use and lend tokens from what it knows of the fleet, so that a home starts to
-/// collect tokens when it becomes one, and not at the first request for tokens. Call it periodically.
+/// Updates this host's rights to use and lend tokens from what it knows of the fleet, so that a home starts
+/// to collect tokens when it becomes one, and not at the first request for tokens. Call it periodically.
 void update_rate_rights(gateway_state& state);
 
 /// Handles another host's request for `wanted` tokens of a team that this host is home of; returns the
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <compare>
 #include <functional>
-#include <utility>
 
 #include "core/common/digest.h"
 
@@ -18,7 +18,7 @@
 // others lack them.
 constexpr double min_own_tokens = 1.5;
 // Tolerates two unreachable homes at once.
-constexpr std::size_t homes_per_team = 3;
+constexpr std::size_t min_homes_per_team = 3;
 // Time constant for averaging the rates of requests and of tokens used.
 constexpr double rate_averaging_s = 1.0;
 // Expected demand that a batch loan covers; shorter than `loan_lifetime`, so that the tokens can be used.
@@ -49,6 +49,14 @@
 constexpr common::milliseconds min_refusal_pause{100};
 constexpr common::milliseconds max_refusal_pause{2000};
 
+struct home_candidate {
+    std::uint64_t rank{0};
+    std::string_view name;
+    std::string_view region;
+
+    auto operator<=>(const home_candidate&) const = default;
+};
+
 /// Fraction of this limit that is divided among the hosts; 0 if each would get too few tokens.
 double own_fraction_of(const rate_limit& fleet, std::size_t hosts) {
     const double each = fleet.capacity * own_fraction / static_cast<double>(std::max<std::size_t>(hosts, 1));
@@ -85,6 +93,13 @@
         now + (lent.granted >= 1 ? contended_borrowing_pause : std::min(pause, max_borrowing_pause));
 }
 
+void begin_lending(home_bucket& home, common::time_point now) {
+    home.home_since = now;
+    // Empty, and refilled only from the end of the wait. Loans of a former home that are still out were taken
+    // from its bucket, so they are counted.
+    home.bucket = {0, now + home_wait};
+}
+
 /// Takes one token, a borrowed one first because those expire.
 bool take_team_token(team_tokens& tokens, const rate_limit& own, common::time_point now) {
     const bool borrowed = tokens.borrowed >= 1 && now < tokens.borrowed_until;
@@ -107,40 +122,72 @@
     return own.capacity >= 1;
 }
 
-rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts) {
-    const auto homes = static_cast<double>(std::clamp<std::size_t>(hosts, 1, homes_per_team));
-    const double fraction = (1 - own_fraction_of(fleet, hosts)) / homes;
+rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts, std::size_t homes) {
+    const double fraction =
+        (1 - own_fraction_of(fleet, hosts)) / static_cast<double>(std::max<std::size_t>(homes, 1));
     return {fleet.rate * fraction, fleet.capacity * fraction};
 }
 
 std::vector<std::string> homes_of(const fleet_members& members, std::string_view team) {
     const auto seed = common::stable_hash(team);
-    std::vector<std::pair<std::uint64_t, std::string_view>> ranks;
+    std::vector<home_candidate> ranks;
     ranks.reserve(members.size());
     for (const auto& [name, it] : members) {
         if (!it.peer_address.empty()) {
-            ranks.emplace_back(common::stable_hash(name, seed), name);
+            ranks.push_back({common::stable_hash(name, seed), name, it.region});
         }
     }
-    const auto homes = std::min(homes_per_team, ranks.size());
-    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(homes), ranks.end(),
-                      std::greater<>());
+    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    std::vector<std::string_view> regions;
+    // The first of each region goes to the front; both groups keep their order.
+    const auto others = std::stable_partition(ranks.begin(), ranks.end(), [&](const home_candidate& it) {
+        const bool is_new = std::find(regions.begin(), regions.end(), it.region) == regions.end();
+        if (is_new) {
+            regions.push_back(it.region);
+        }
+        return is_new;
+    });
+    const auto regional = static_cast<std::size_t>(others - ranks.begin());
+    const auto homes = std::min(std::max(regional, min_homes_per_team), ranks.size());
     std::vector<std::string> names;
     for (std::size_t n = 0; n < homes; ++n) {
-        names.emplace_back(ranks[n].second);
+        names.emplace_back(ranks[n].name);
     }
     return names;
 }
 
+std::vector<std::string> nearest_homes(const fleet_members& members, std::span<const std::string> homes,
+                                       std::string_view region, std::size_t first) {
+    std::vector<std::string> order(homes.begin(), homes.end());
+    if (order.empty()) {
+        return order;
+    }
+    std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first % order.size()),
+                order.end());
+    std::stable_partition(order.begin(), order.end(), [&](const std::string& name) {
+        const auto found = members.find(name);
+        return found != members.end() && found->second.region == region;
+    });
+    return order;
+}
+
 void note_home(home_bucket& home, bool is_home, common::time_point now) {
     if (is_home && !home.is_home) {
-        home.home_since = now;
-        // Empty, and refilled only from the end of the wait.
-        home.bucket = {0, now + home_wait};
+        begin_lending(home, now);
     }
     home.is_home = is_home;
 }
 
+void note_lending_right(home_bucket& home, common::time_point valid_until, common::time_point now) {
+    if (now >= valid_until) {
+        return;
+    }
+    if (now >= home.valid_until) {
+        begin_lending(home, now);
+    }
+    home.valid_until = valid_until;
+}
+
 double lend(home_bucket& home, const rate_limit& lent, double wanted, common::time_point now) {
     if (!home.is_home || now < home.home_since + home_wait) {
         return 0;
--- a/source/core/traffic/rate_home.h
+++ b/source/core/traffic/rate_home.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,42 +15,54 @@
 
 // A team's rate limit has two parts. One is divided among all hosts by their expected share of callers, and
 // used without messages. The other is held by a few hosts, the team's homes, which lend tokens to hosts that
-// need more than their own. The homes hold equal shares, so a host that cannot reach one of them still gets
-// tokens.
+// need more than their own. There is a home in each region, which the hosts of the region ask first. The
+// homes hold equal shares, so a host that cannot reach one of them still gets tokens.
 
 /// A host's own limit, for its `share` of all callers (0 to 1). Zero if the limit is so small that each of
 /// `hosts` hosts would hold too few tokens to use them; the homes then lend all of it.
 rate_limit own_limit(const rate_limit& fleet, double share, std::size_t hosts);
 
-/// Whether a host with the own limit `own` uses tokens of its own. A bucket holds at least one token, so with a
-/// smaller share the buckets of all hosts together would exceed the fleet's limit.
+/// Whether a host with the own limit `own` uses tokens of its own. A bucket holds at least one token, so with
+/// a smaller share the buckets of all hosts together would exceed the fleet's limit.
 bool has_own_tokens(const rate_limit& own);
 
-/// The limit on the tokens that one home lends: its equal share of what the hosts don't hold themselves.
-rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts);
+/// The limit on the tokens that one of `homes` homes lends: its equal share of what the `hosts` hosts don't
+/// hold themselves.
+rate_limit lent_limit(const rate_limit& fleet, std::size_t hosts, std::size_t homes);
 
-/// Names of the hosts that lend a team's tokens, by rendezvous hashing: hosts with the same members get the
-/// same names in the same order.
+/// Names of the hosts that lend a team's tokens, by rendezvous hashing: one of each region and, where there
+/// are few regions, further ones. Hosts with the same members get the same names in the same order.
 std::vector<std::string> homes_of(const fleet_members& members, std::string_view team);
 
+/// The homes in the order in which a host in `region` asks them: those of its region, then the others,
+/// rotated by `first` so that the hosts spread their questions.
+std::vector<std::string> nearest_homes(const fleet_members& members, std::span<const std::string> homes,
+                                       std::string_view region, std::size_t first);
+
 /// Tokens that a home of a team can lend.
 struct home_bucket {
     rate_bucket bucket;
-    /// When this host became a home. It lends only after `home_wait`, when loans of a former home have
-    /// expired.
+    /// When this host became a home. It lends only after `home_wait`, when a former home knows that it is
+    /// none.
     common::time_point home_since;
     bool is_home{false};
+    /// Until when the host may lend, as far as known at the last update.
+    common::time_point valid_until;
 };
 
 /// Time after which borrowed tokens expire, counted from the request for the loan.
 inline constexpr common::milliseconds loan_lifetime{1000};
-/// Time that a new home waits before it lends: `loan_lifetime`, plus half a second, since hosts learn of new
-/// members up to that long after one another.
-inline constexpr common::milliseconds home_wait{1500};
+/// Time that a new home waits before it collects tokens and lends: hosts learn of new members up to that long
+/// after one another, and until then the former home lends.
+inline constexpr common::milliseconds home_wait{500};
 
 /// Updates whether this host is a home; call it before each `lend`.
 void note_home(home_bucket& home, bool is_home, common::time_point now);
 
+/// Updates until when the host may lend. After a gap the bucket is empty and the home waits as a new one
+/// does, because another host may have been the home meanwhile. Call it periodically, and before each `lend`.
+void note_lending_right(home_bucket& home, common::time_point valid_until, common::time_point now);
+
 /// Takes up to `wanted` tokens to lend and returns their number; 0 if there are none or this host may not
 /// lend. `lent` is the limit of one home.
 double lend(home_bucket& home, const rate_limit& lent, double wanted, common::time_point now);
--- a/source/unit_tests/gateway/team_rates_test.cpp
+++ b/source/unit_tests/gateway/team_rates_test.cpp
@@ -57,9 +57,8 @@
     const auto config = current_configuration(state);
     int taken = 0;
     for (int n = 0; n < count; ++n) {
-        net::co_spawn(
-            state.io, take_rate_token(state, config->teams.front()),
-            [&taken](const auto&, const auto& retry_after) { taken += retry_after ? 0 : 1; });
+        net::co_spawn(state.io, take_rate_token(state, config->teams.front()),
+                      [&taken](const auto&, const auto& retry_after) { taken += retry_after ? 0 : 1; });
     }
     state.io.restart();
     state.io.run();
@@ -70,11 +69,13 @@
 
 TEST_CASE("a host whose knowledge of the fleet is too old uses no part of a team's limit") {
     const auto state = single_host_fleet();
+    // The knowledge is valid for 600 ms more.
+    state->mirror.mirror.confirmed_at =
+        common::boot_clock::now() - traffic::membership_validity + milliseconds(600);
     update_rate_rights(*state);
     std::this_thread::sleep_for(milliseconds(300));
     CHECK(tokens_taken(*state, 1) == 1);
-    std::this_thread::sleep_for(milliseconds(300));
-    state->mirror.mirror.confirmed_at = common::boot_clock::now() - milliseconds(60'000);
+    std::this_thread::sleep_for(milliseconds(400));
     CHECK(tokens_taken(*state, 1) == 0);
     // Confirmed again, it has neither the tokens from before nor any for the time without a part.
     std::this_thread::sleep_for(milliseconds(500));
--- a/source/unit_tests/traffic/fleet_rates_test.cpp
+++ b/source/unit_tests/traffic/fleet_rates_test.cpp
@@ -24,6 +24,8 @@
 #else
 constexpr std::uint64_t history_count = 20'000;
 #endif
+// Of these histories, the limit is exceeded in one of a hundred at least if buckets start full.
+constexpr int naive_count = 400;
 constexpr int search_threads = 6;
 constexpr int host_count = 12;
 constexpr int step_ms = 20;
@@ -46,6 +48,7 @@
 
 struct model_host {
     std::string name;
+    std::string region;
     team_tokens tokens;
     home_bucket home;
     fleet_members view;
@@ -115,15 +118,16 @@
         home.home.home_since = at(ms) - home_wait;
         home.home.bucket = {1e9, at(ms)};
     }
-    const auto lent = lent_limit(fleet_limit(it.limited_team, bounds), home.view.size());
+    const auto lent = lent_limit(fleet_limit(it.limited_team, bounds), home.view.size(), home.homes.size());
     return {lend(home.home, lent, std::min(wanted, 2.0), at(ms)), until_token(home.home.bucket, lent)};
 }
 
-/// Asks the homes in turn, as far as the decision says so.
+/// Asks the homes, the near ones first, as far as the decision says so.
 token_loan borrow(fleet_model& it, const model_host& host, const token_decision& request, int ms) {
     token_loan best{0, milliseconds(400)};
-    for (std::size_t n = 0; n < host.homes.size(); ++n) {
-        const auto& name = host.homes[(request.first_home + n) % host.homes.size()];
+    const auto homes = nearest_homes(host.view, host.homes, host.region, request.first_home);
+    for (std::size_t n = 0; n < homes.size(); ++n) {
+        const auto& name = homes[n];
         const auto home =
             std::find_if(it.hosts.begin(), it.hosts.end(), [&](const auto& one) { return one.name == name; });
         if (!it.members.contains(name)) {
@@ -176,6 +180,7 @@
     for (const auto& [name, member] : it.members) {
         it.hosts.emplace_back();
         it.hosts.back().name = name;
+        it.hosts.back().region = member.region;
         it.hosts.back().tokens.own.at = start;
         update_view(it, it.hosts.back());
     }
@@ -231,7 +236,7 @@
     "no window holds more of a team's requests than the fleet's limit, over restarts and moving homes") {
     MESSAGE(history_count << " histories from seed 1");
     CHECK(count_violations(history_count, false) == 0);
-    CHECK(count_violations(20, true) > 0);
+    CHECK(count_violations(naive_count, true) * 100 >= naive_count);
 }
 
 TEST_CASE("a small team is served although its share on each host is below one token") {
@@ -239,7 +244,7 @@
     const team small{"small", 0, 2, 2, {}};
     const auto whole_limit = fleet_limit(small, {milliseconds(5000), 0, 0});
     // One home with the limits of all homes of the team.
-    auto lent_limit_of_all = lent_limit(whole_limit, members.size());
+    auto lent_limit_of_all = lent_limit(whole_limit, members.size(), 3);
     lent_limit_of_all.rate *= 3;
     lent_limit_of_all.capacity *= 3;
     home_bucket home;
--- a/source/unit_tests/traffic/outage_rates_test.cpp
+++ b/source/unit_tests/traffic/outage_rates_test.cpp
@@ -165,13 +165,14 @@
 }
 
 /// Time until which the host may lend.
-bool may_lend(const fleet_model& it, const model_host& host, int ms) {
-    const bool confirmed = ms <= host.confirmed_at + membership_validity.count();
-    if (confirmed && (it.plan.naive || ms <= host.lease_end)) {
-        return true;
+int may_lend_until(const fleet_model& it, const model_host& host, int ms) {
+    const int confirmed = host.confirmed_at + static_cast<int>(membership_validity.count());
+    if (it.plan.naive) {
+        return confirmed;
     }
     const auto known = outage_known_until(host.evidence, sharing_hosts(host.view), boot_at(ms));
-    return !it.plan.naive && known && boot_at(ms) <= *known;
+    const auto known_ms = known ? common::milliseconds_between(boot_at(0), *known) : ms;
+    return std::max(std::min(confirmed, host.lease_end), static_cast<int>(known_ms));
 }
 
 /// Time until which the host may use its part of the limit.
@@ -187,6 +188,7 @@
     note_own_part(host.part, {host.member.name, &host.view, at(part_valid_until(host, ms))}, at(ms));
     const auto own = held_limit(host.part, host.view, fleet_limit(it.limited_team, bounds));
     note_own_limit(host.tokens, host.part, own, at(ms));
+    note_lending_right(host.home, at(may_lend_until(it, host, ms)), at(ms));
 }
 
 void restart(model_host& host, int ms) {
@@ -265,17 +267,21 @@
 }
 
 token_loan ask_home(fleet_model& it, model_host& home, double wanted, int ms) {
-    const auto lent = lent_limit(fleet_limit(it.limited_team, bounds), sharing_hosts(home.view));
-    if (!may_lend(it, home, ms)) {
+    const auto lent =
+        lent_limit(fleet_limit(it.limited_team, bounds), sharing_hosts(home.view), home.homes.size());
+    const int until = may_lend_until(it, home, ms);
+    if (ms >= until) {
         return {0, milliseconds(400)};
     }
+    note_lending_right(home.home, at(until), at(ms));
     return {lend(home.home, lent, std::min(wanted, 2.0), at(ms)), until_token(home.home.bucket, lent)};
 }
 
 token_loan borrow(fleet_model& it, const model_host& host, const token_decision& request, int ms) {
     token_loan best{0, milliseconds(400)};
-    for (std::size_t n = 0; n < host.homes.size(); ++n) {
-        const auto& name = host.homes[(request.first_home + n) % host.homes.size()];
+    const auto homes = nearest_homes(host.view.members, host.homes, host.member.region, request.first_home);
+    for (std::size_t n = 0; n < homes.size(); ++n) {
+        const auto& name = homes[n];
         auto& home = *std::find_if(it.hosts.begin(), it.hosts.end(),
                                    [&](const auto& one) { return one.member.name == name; });
         if (ms < home.paused_until) {
--- a/source/unit_tests/traffic/rate_contention_test.cpp
+++ b/source/unit_tests/traffic/rate_contention_test.cpp
@@ -58,7 +58,7 @@
 void ask_next_home(simulation& it, loan_request request) {
     ++it.result.loan_requests;
     auto& home = it.homes[(request.host + request.decision.first_home + request.homes_asked) % home_count];
-    const auto limit = lent_limit(it.whole_limit, host_count);
+    const auto limit = lent_limit(it.whole_limit, host_count, home_count);
     ++request.homes_asked;
     it.events.emplace(it.now_ms + round_trip_ms / 2.0, [&it, request, &home, limit] {
         const token_loan lent{lend(home, limit, request.decision.wanted, it.now()),
--- a/source/unit_tests/traffic/rate_part_test.cpp
+++ b/source/unit_tests/traffic/rate_part_test.cpp
@@ -86,6 +86,21 @@
     CHECK(passed_at(tokens, part, view, 2100) == 0);
 }
 
+TEST_CASE(
+    "a home that may lend again after a gap has none of the tokens from before, and no credit for the gap") {
+    const rate_limit limit{10, 50};
+    home_bucket home;
+    note_home(home, true, at(0));
+    note_lending_right(home, at(5000), at(0));
+    note_lending_right(home, at(8000), at(4000));
+    CHECK(lend(home, limit, 10, at(7000)) == 10);
+    // Its right ran out unnoticed.
+    note_lending_right(home, at(13'000), at(10'000));
+    CHECK(lend(home, limit, 10, at(10'000)) == 0);
+    note_lending_right(home, at(14'000), at(11'000));
+    CHECK(lend(home, limit, 10, at(11'000)) == 5);
+}
+
 TEST_CASE("a limit that comes back, because the fleet has become smaller, credits no time without it") {
     auto view = view_of_two_hosts();
     own_part part;
