--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -41,10 +41,11 @@
     std::atomic<std::int64_t> body_received{0};
     /// Deadline of that body, in ticks of the monotonic clock.
     std::atomic<common::monotonic::rep> body_due{0};
-    /// Begin of the interval in which the progress of the body is measured, and what had arrived then. Used
-    /// by the periodic maintenance only.
+    /// Begin of the interval in which the progress of a body is measured, what had arrived then, and which
+    /// body, by its deadline. Used by the periodic maintenance only.
     common::time_point marked_at;
     std::int64_t received_at_mark{0};
+    common::monotonic::rep marked_due{0};
     /// No request is in flight.
     std::atomic<bool> idle{true};
     /// The limit of concurrent requests is reached; the reader has stopped reading.
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -62,7 +62,7 @@
 
 exchange_result unanswered(exchange_outcome outcome, std::string reason,
                            exchange_end ended_by = exchange_end::endpoint) {
-    return {outcome, {}, std::move(reason), ended_by, {}};
+    return {outcome, {}, std::move(reason), ended_by, transport::memory_reservation()};
 }
 
 exchange_outcome classify_error(const endpoint_connection& connection, const error_code& ec) {
@@ -181,7 +181,8 @@
                           string_response_parser& parser, transport::memory_reservation& reservation,
                           error_code& ec) {
     std::size_t received = 0;
-    if (!ec && !parser.is_done()) {
+    if (!ec && !parser.is_done() &&
+        parser.content_length_remaining().value_or(body_input_bytes) > connection->input.size()) {
         connection->input.reserve(body_input_bytes);
     }
     while (!ec && !parser.is_done()) {
--- a/source/core/gateway/request_reader.cpp
+++ b/source/core/gateway/request_reader.cpp
@@ -93,8 +93,7 @@
         ec = out_of_memory();
         co_return;
     }
-    const auto received = co_await it.socket.async_read_some(
-        it.input.prepare(n), keep_error(ec));
+    const auto received = co_await it.socket.async_read_some(it.input.prepare(n), keep_error(ec));
     it.input.commit(received);
     if (it.ended_for_memory) {
         ec = out_of_memory();
@@ -182,11 +181,15 @@
     if (head.find(http::field::expect) != head.end() && it.calls.empty()) {
         co_await write_continue(it);
     }
-    if (pending.parser.content_length()) {
+    const auto announced = pending.parser.content_length();
+    if (announced) {
         pending.max_input = std::max(pending.max_input, body_input_bytes);
-        if (transport::reserve_memory(it.input_memory, it.input.capacity() + body_input_bytes)) {
-            it.input.reserve(body_input_bytes);
-        }
+    }
+    const auto input = std::min<std::uint64_t>(announced.value_or(body_input_bytes),
+                                               std::min(pending.max_input, body_input_bytes));
+    if (input > it.input.capacity() &&
+        transport::reserve_memory(it.input_memory, it.input.capacity() + input)) {
+        it.input.reserve(input);
     }
     it.body_received = 0;
     it.body_due = due.time_since_epoch().count();
@@ -230,6 +233,38 @@
     return read;
 }
 
+/// The state of the body that is being read, with the begin of the interval of its progress. Begins the next
+/// interval if this one has passed.
+traffic::unfinished_body measure_body(caller_connection& it, common::time_point now) {
+    const auto due = it.body_due.load();
+    const auto received = it.body_received.load();
+    if (it.marked_due != due) {
+        it.marked_due = due;
+        it.marked_at = now;
+        it.received_at_mark = received;
+    }
+    const traffic::unfinished_body body{.held = it.body_held,
+                                        .received = received,
+                                        .received_at_mark = it.received_at_mark,
+                                        .marked_at = it.marked_at,
+                                        .due = common::time_point(monotonic::duration(due))};
+    if (now - it.marked_at >= traffic::progress_interval) {
+        it.marked_at = now;
+        it.received_at_mark = received;
+    }
+    return body;
+}
+
+void end_body(caller_connection& it) {
+    if (it.body_held == 0) {
+        return;
+    }
+    it.ended_for_memory = true;
+    // Ends the current read; responses to earlier requests can still be written.
+    error_code ec;
+    it.socket.shutdown(tcp::socket::shutdown_receive, ec);
+}
+
 } // namespace
 
 awaitable<read_outcome> read_call(gateway_state& state, caller_connection& it) {
@@ -275,38 +310,14 @@
     std::vector<caller_ptr> callers;
     std::vector<traffic::unfinished_body> bodies;
     for (auto& it : open_callers(state)) {
-        const auto held = it->body_held.load();
-        if (held == 0) {
-            it->marked_at = {};
-            continue;
+        if (it->body_held != 0) {
+            bodies.push_back(measure_body(*it, now));
+            callers.push_back(std::move(it));
         }
-        const common::time_point due{common::monotonic::duration(it->body_due.load())};
-        const auto received = it->body_received.load();
-        if (it->marked_at == common::time_point{} || received < it->received_at_mark) {
-            it->marked_at = now;
-            it->received_at_mark = received;
-        }
-        bodies.push_back({.held = held,
-                          .received = received,
-                          .received_at_mark = it->received_at_mark,
-                          .marked_at = it->marked_at,
-                          .due = due});
-        if (now - it->marked_at >= traffic::progress_interval) {
-            it->marked_at = now;
-            it->received_at_mark = received;
-        }
-        callers.push_back(std::move(it));
     }
-    for (const auto n :
-         traffic::choose_ended_bodies(bodies, state.call_memory.used, state.call_memory.limit, now)) {
-        net::post(callers[n]->strand, [it = callers[n]] {
-            if (it->body_held != 0) {
-                it->ended_for_memory = true;
-                // Ends the current read; responses to earlier requests can still be written.
-                error_code ec;
-                it->socket.shutdown(tcp::socket::shutdown_receive, ec);
-            }
-        });
+    const auto& budget = state.call_memory;
+    for (const auto n : traffic::choose_ended_bodies(bodies, budget.used, budget.limit, now)) {
+        net::post(callers[n]->strand, [it = callers[n]] { end_body(*it); });
     }
 }
 
--- a/source/unit_tests/traffic/call_memory_test.cpp
+++ b/source/unit_tests/traffic/call_memory_test.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-TEST_CASE("the memory for calls holds one body of 64 MiB on a machine of 112 MB, and leaves the process its part") {
+TEST_CASE(
+    "the memory for calls holds one body of 64 MiB on a machine of 112 MB, and leaves the process its part") {
     const auto limits =
         plan_call_memory({.machine = 112 * megabyte, .process = 24 * megabyte, .calls_fraction = 0.92});
     CHECK(limits.limit > (64 << 20) + megabyte);
