--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -153,25 +153,16 @@
 /// not-run header or status 421 (misdirected request), has not run it.
 attempt_result classify_result(const header_names& names, exchange_result result) {
     if (result.outcome == exchange_outcome::not_sent) {
-        return {attempt_outcome::not_run,
-                {},
-                std::move(result.reason),
-                result.ended_by,
-                transport::memory_reservation()};
+        return {attempt_outcome::not_run, {}, std::move(result.reason), result.ended_by, {}};
     }
     if (result.outcome != exchange_outcome::answered) {
         auto reason = fmt::format("{}: {}", exchange_outcome_name(result.outcome), result.reason);
-        return {
-            attempt_outcome::lost, {}, std::move(reason), result.ended_by, transport::memory_reservation()};
+        return {attempt_outcome::lost, {}, std::move(reason), result.ended_by, {}};
     }
     const auto status = result.response.result_int();
     const bool states_not_run = result.response.find(names.not_run) != result.response.end();
     if (status >= 400 && (states_not_run || status == status_misdirected)) {
-        return {attempt_outcome::not_run,
-                {},
-                fmt::format("shed with {}", status),
-                {},
-                transport::memory_reservation()};
+        return {attempt_outcome::not_run, {}, fmt::format("shed with {}", status), {}, {}};
     }
     if (status >= first_server_error) {
         return {attempt_outcome::failed,
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -62,7 +62,7 @@
 
 exchange_result unanswered(exchange_outcome outcome, std::string reason,
                            exchange_end ended_by = exchange_end::endpoint) {
-    return {outcome, {}, std::move(reason), ended_by, transport::memory_reservation()};
+    return {outcome, {}, std::move(reason), ended_by, {}};
 }
 
 exchange_outcome classify_error(const endpoint_connection& connection, const error_code& ec) {
