--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -182,7 +182,8 @@
                           string_response_parser& parser, transport::memory_reservation& reservation,
                           error_code& ec) {
     std::size_t received = 0;
-    if (!ec && !parser.is_done()) {
+    if (!ec && !parser.is_done() &&
+        parser.content_length_remaining().value_or(body_input_bytes) > connection->input.size()) {
         connection->input.reserve(body_input_bytes);
     }
     while (!ec && !parser.is_done()) {
