--- a/source/core/gateway/request_reader.cpp
+++ b/source/core/gateway/request_reader.cpp
@@ -222,7 +222,7 @@
 }
 
 call_ptr finish_call(pending_read& pending, common::time_point arrived_at) {
-    const auto read = std::make_shared<call>();
+    auto read = std::make_shared<call>();
     read->request = pending.parser.release();
     const auto body = std::make_shared<held_body>();
     body->bytes = std::move(read->request.body());
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <compare>
-#include <functional>
+#include <tuple>
 
 #include "core/common/digest.h"
 
@@ -53,10 +52,13 @@
     std::uint64_t rank{0};
     std::string_view name;
     std::string_view region;
-
-    auto operator<=>(const home_candidate&) const = default;
 };
 
+/// Whether `a` goes before `b` in the order of homes.
+bool ranks_higher(const home_candidate& a, const home_candidate& b) {
+    return std::tie(a.rank, a.name) > std::tie(b.rank, b.name);
+}
+
 /// Fraction of this limit that is divided among the hosts; 0 if each would get too few tokens.
 double own_fraction_of(const rate_limit& fleet, std::size_t hosts) {
     const double each = fleet.capacity * own_fraction / static_cast<double>(std::max<std::size_t>(hosts, 1));
@@ -137,7 +139,7 @@
             ranks.push_back({common::stable_hash(name, seed), name, it.region});
         }
     }
-    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    std::sort(ranks.begin(), ranks.end(), ranks_higher);
     std::vector<std::string_view> regions;
     // The first of each region goes to the front; both groups keep their order.
     const auto others = std::stable_partition(ranks.begin(), ranks.end(), [&](const home_candidate& it) {
--- a/source/core/transport/memory_budget.h
+++ b/source/core/transport/memory_budget.h
@@ -40,7 +40,9 @@
 /// The part of the budget that one message takes; released on destruction.
 struct memory_reservation {
     /// Without a budget, each reservation succeeds.
-    explicit memory_reservation(memory_budget* from = nullptr) : budget(from) {}
+    memory_reservation() = default;
+
+    explicit memory_reservation(memory_budget* from) : budget(from) {}
 
     memory_reservation(const memory_reservation&) = delete;
     memory_reservation& operator=(const memory_reservation&) = delete;
@@ -56,7 +58,7 @@
 
     ~memory_reservation();
 
-    memory_budget* budget;
+    memory_budget* budget{nullptr};
     std::int64_t held{0};
 };
 
--- a/source/failure_tests/memory_limits_test.cpp
+++ b/source/failure_tests/memory_limits_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr milliseconds start_timeout{20'000};
 constexpr milliseconds answer_timeout{60'000};
+constexpr std::size_t status_line_bytes = std::string_view("HTTP/1.1 200 OK").size();
 
 // Limits of the host under test.
 constexpr std::size_t bytes_per_megabyte = 1'000'000;
@@ -129,32 +130,43 @@
     CHECK(peak <= it.limits.memory_mb * bytes_per_megabyte);
 }
 
-/// Plays a crowd whose connections stay open, sends an ordinary request, and checks the limits and a clean
-/// stop of the host.
+struct crowd_result {
+    std::size_t most_descriptors{0};
+    /// An ordinary request was answered while the connections of the crowd were open.
+    bool answered{false};
+};
+
+/// Plays a crowd whose connections stay open, then sends an ordinary request.
+crowd_result play_crowd(limited_host& it, std::size_t clients,
+                        const std::function<void(client_socket&)>& act) {
+    crowd_result result;
+    const auto count_descriptors = [&] {
+        result.most_descriptors = std::max(result.most_descriptors, open_descriptors(it.host.pid));
+    };
+    crowd clients_of_host;
+    std::atomic<std::size_t> done{0};
+    start_crowd(clients_of_host, clients, it.address, [&](client_socket& one) {
+        act(one);
+        ++done;
+    });
+    wait_until(answer_timeout, [&] {
+        count_descriptors();
+        return done == clients;
+    });
+    wait_for_crowd(clients_of_host);
+    count_descriptors();
+    result.answered = wait_until(answer_timeout, [&] { return is_answered(it); });
+    return result;
+}
+
+/// Plays a crowd, and checks the limits and a clean stop of the host.
 void expect_limits_kept(std::size_t clients, const std::function<void(client_socket&)>& act) {
     limited_host it;
     REQUIRE(start(it));
-    const auto pid = it.host.pid;
-    std::size_t most_descriptors = 0;
-    bool answered = false;
-    {
-        crowd clients_of_host;
-        std::atomic<std::size_t> done{0};
-        start_crowd(clients_of_host, clients, it.address, [&](client_socket& one) {
-            act(one);
-            ++done;
-        });
-        wait_until(answer_timeout, [&] {
-            most_descriptors = std::max(most_descriptors, open_descriptors(pid));
-            return done == clients;
-        });
-        wait_for_crowd(clients_of_host);
-        most_descriptors = std::max(most_descriptors, open_descriptors(pid));
-        answered = wait_until(answer_timeout, [&] { return is_answered(it); });
-    }
-    CHECK(answered);
-    MESSAGE("most open descriptors: " << most_descriptors);
-    CHECK(most_descriptors <= descriptor_limit);
+    const auto result = play_crowd(it, clients, act);
+    CHECK(result.answered);
+    MESSAGE("most open descriptors: " << result.most_descriptors);
+    CHECK(result.most_descriptors <= descriptor_limit);
     expect_memory_kept(it);
     CHECK(stop_child(it.host) == 0);
 }
@@ -163,24 +175,34 @@
     return fmt::format("{:x}\r\n{}\r\n", length, std::string(length, 'x'));
 }
 
+/// Sends a body with a length; returns the status line of the response.
+std::string send_with_length(const limited_host& it, std::size_t bytes) {
+    client_socket client;
+    const bool taken = connect_client(client, it.address) && send_bytes(client, head_with_length(bytes)) &&
+                       send_filler(client, bytes);
+    return taken ? read_bytes(client, status_line_bytes) : "not taken";
+}
+
+/// Sends a body in chunks; returns the status line of the response.
+std::string send_in_chunks(const limited_host& it, std::size_t bytes) {
+    constexpr std::size_t chunk_bytes = 64U << 10U;
+    client_socket client;
+    bool taken = connect_client(client, it.address) &&
+                 send_bytes(client, request_head("POST", "/body", "Transfer-Encoding: chunked\r\n"));
+    const auto chunk = chunked_text(chunk_bytes);
+    for (std::size_t sent = 0; taken && sent < bytes; sent += chunk_bytes) {
+        taken = send_bytes(client, chunk);
+    }
+    taken = taken && send_bytes(client, "0\r\n\r\n");
+    return taken ? read_bytes(client, status_line_bytes) : "not taken";
+}
+
 /// Sends one large body, with a length and then in chunks, and expects the answers.
 void expect_single_body_served(const machine_limits& limits, std::size_t chunked_bytes) {
     limited_host it(limits);
     REQUIRE(start(it));
-    client_socket client;
-    REQUIRE(connect_client(client, it.address));
-    REQUIRE(send_bytes(client, head_with_length(limits.max_body_bytes)));
-    REQUIRE(send_filler(client, limits.max_body_bytes));
-    CHECK(read_bytes(client, 15) == "HTTP/1.1 200 OK");
-    client_socket chunked;
-    REQUIRE(connect_client(chunked, it.address));
-    REQUIRE(send_bytes(chunked, request_head("POST", "/body", "Transfer-Encoding: chunked\r\n")));
-    const auto piece = chunked_text(64U << 10U);
-    for (std::size_t sent = 0; sent < chunked_bytes; sent += 64U << 10U) {
-        REQUIRE(send_bytes(chunked, piece));
-    }
-    REQUIRE(send_bytes(chunked, "0\r\n\r\n"));
-    CHECK(read_bytes(chunked, 15) == "HTTP/1.1 200 OK");
+    CHECK(send_with_length(it, limits.max_body_bytes) == "HTTP/1.1 200 OK");
+    CHECK(send_in_chunks(it, chunked_bytes) == "HTTP/1.1 200 OK");
     expect_memory_kept(it);
     CHECK(stop_child(it.host) == 0);
 }
--- a/source/unit_tests/traffic/rate_homes_test.cpp
+++ b/source/unit_tests/traffic/rate_homes_test.cpp
@@ -135,11 +135,12 @@
 }
 
 /// The former rule: the three hosts of the highest rank, wherever they are.
-std::vector<std::string> homes_anywhere(fleet_members members, std::string_view name) {
-    for (auto& [host, it] : members) {
+std::vector<std::string> homes_anywhere(const fleet_members& members, std::string_view name) {
+    auto in_one_region = members;
+    for (auto& [host, it] : in_one_region) {
         it.region = "all";
     }
-    return homes_of(members, name);
+    return homes_of(in_one_region, name);
 }
 
 outcome simulate(bool former) {
