--- a/source/core/gateway/load_exchange.cpp
+++ b/source/core/gateway/load_exchange.cpp
@@ -45,7 +45,7 @@
     std::vector<shared_load> loads;
     loads.reserve(records.size());
     for (const auto& it : records) {
-        traffic::load_report load{.running = it.running(), .waiting = it.waiting()};
+        traffic::load_report load{.running = it.running(), .waiting = it.waiting(), .slots = 0, .pace = {}};
         if (it.pace() > 0) {
             load.pace = it.pace() / percent;
         }
