--- a/source/unit_tests/traffic/fleet_rates_test.cpp
+++ b/source/unit_tests/traffic/fleet_rates_test.cpp
@@ -126,8 +126,7 @@
 token_loan borrow(fleet_model& it, const model_host& host, const token_decision& request, int ms) {
     token_loan best{0, milliseconds(400)};
     const auto homes = nearest_homes(host.view, host.homes, host.region, request.first_home);
-    for (std::size_t n = 0; n < homes.size(); ++n) {
-        const auto& name = homes[n];
+    for (const auto& name : homes) {
         const auto home =
             std::find_if(it.hosts.begin(), it.hosts.end(), [&](const auto& one) { return one.name == name; });
         if (!it.members.contains(name)) {
--- a/source/unit_tests/traffic/heavy_load_test.cpp
+++ b/source/unit_tests/traffic/heavy_load_test.cpp
@@ -83,7 +83,12 @@
     auto& endpoint = it.endpoints[id];
     --endpoint.running;
     auto& known = *it.hosts[static_cast<std::size_t>(done.host)].by_id[id];
-    note_report(known, {endpoint.running, static_cast<int>(endpoint.queue.size())}, it.now());
+    note_report(known,
+                {.running = endpoint.running,
+                 .waiting = static_cast<int>(endpoint.queue.size()),
+                 .slots = 0,
+                 .pace = {}},
+                it.now());
     --known.in_flight;
     const double elapsed = it.now_ms - done.sent_ms;
     it.result.in_time += elapsed <= target_ms ? 1 : 0;
@@ -135,7 +140,12 @@
     }
     auto& endpoint = it.endpoints[chosen->entry.id];
     if (endpoint.queue.size() >= max_queue_length) {
-        note_report(*chosen, {endpoint.running, static_cast<int>(endpoint.queue.size())}, it.now());
+        note_report(*chosen,
+                    {.running = endpoint.running,
+                     .waiting = static_cast<int>(endpoint.queue.size()),
+                     .slots = 0,
+                     .pace = {}},
+                    it.now());
         ++it.result.refused;
         return;
     }
--- a/source/unit_tests/traffic/second_attempt_test.cpp
+++ b/source/unit_tests/traffic/second_attempt_test.cpp
@@ -61,17 +61,17 @@
     const auto now = sent_at + milliseconds(500);
     endpoint_state endpoint;
     CHECK_FALSE(reported_queue_since(endpoint, sent_at, now));
-    note_report(endpoint, {6, 3}, sent_at - milliseconds(1));
+    note_report(endpoint, {.running = 6, .waiting = 3}, sent_at - milliseconds(1));
     CHECK_FALSE(reported_queue_since(endpoint, sent_at, now));
-    note_report(endpoint, {6, 0}, sent_at + milliseconds(1));
+    note_report(endpoint, {.running = 6, .waiting = 0}, sent_at + milliseconds(1));
     CHECK_FALSE(reported_queue_since(endpoint, sent_at, now));
-    note_report(endpoint, {6, 1}, sent_at + milliseconds(2));
+    note_report(endpoint, {.running = 6, .waiting = 1}, sent_at + milliseconds(2));
     CHECK(reported_queue_since(endpoint, sent_at, now));
 }
 
 TEST_CASE("a queue is waited for no longer than its endpoint reports it, and not until the response is due") {
     endpoint_state endpoint;
-    note_report(endpoint, {6, 3}, sent_at + milliseconds(100));
+    note_report(endpoint, {.running = 6, .waiting = 3}, sent_at + milliseconds(100));
     CHECK(reported_queue_since(endpoint, sent_at, sent_at + milliseconds(1100)));
     CHECK_FALSE(reported_queue_since(endpoint, sent_at, sent_at + milliseconds(1101)));
     auto request = sendable();
