--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Case 7: the body of a request with an unknown transfer coding runs as a request of its own.
+# Case 7: one spoiled answer of one worker ends every entry host that it reaches.
 . "$(dirname "$0")/../stand_ins-2/common.sh"
 start_store
 start_host 1
-run_case "$stand_ins/smuggled" "$case_folder/record.txt" "$network" "${TROUBLE:-1}" "$state_file"
+start_host 2
+run_case "$stand_ins/long_trailer" "$case_folder/record.txt" "$network" "${TROUBLE:-1}" "$state_file" 2
--- a/review/stand_ins-3/sim.h
+++ b/review/stand_ins-2/sim.h
@@ -1,8 +1,9 @@
-// Stand-ins for the platform's store, for endpoints and for callers, in one process, and a launcher for entry hosts.
-// All sockets are on loopback addresses of a network that is drawn for each run.
+// Stand-ins for the platform's store, for endpoints and for callers, in one process, and a launcher for entry hosts, for
+// cases 6 and 9. All sockets are on loopback addresses of a network that is drawn for each run.
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -856,6 +857,19 @@
     std::vector<std::unique_ptr<entry_host>> hosts;
 };
 
+/// Processes to end when the test itself is ended.
+inline std::array<std::atomic<pid_t>, 64> started_pids{};
+inline std::atomic<std::size_t> started_count{0};
+
+inline void end_started(int) {
+    for (const auto& it : started_pids) {
+        if (it != 0) {
+            kill(it, SIGKILL);
+        }
+    }
+    _exit(2);
+}
+
 inline void start_process(fleet& all, entry_host& it) {
     std::ifstream file(all.root + "/deploy/settings.ini");
     std::stringstream text;
@@ -871,6 +885,7 @@
         _exit(127);
     }
     close(log);
+    started_pids[started_count++ % started_pids.size()] = it.pid;
     record("host %s starts, pid %d, %s", it.name.c_str(), it.pid, it.requests().text().c_str());
 }
 
@@ -915,6 +930,7 @@
     }
     int status = 0;
     if (waitpid(it.pid, &status, WNOHANG) == it.pid) {
+        std::replace_if(started_pids.begin(), started_pids.end(), [&](const auto& one) { return one == it.pid; }, 0);
         record("host %s ended, %s %d", it.name.c_str(), WIFSIGNALED(status) ? "signal" : "status",
                WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
         it.pid = 0;
@@ -995,6 +1011,7 @@
 
 inline void begin(test_run& it, const std::string& case_folder) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, &end_started);
     std::random_device random;
     it.trouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
     the_record().file = std::fopen((case_folder + "/record.txt").c_str(), "w");
