A message too large for the HTTP library ends its request, not the host

Callers saw: one endpoint ended a chunked answer with a trailer field of 70,000 bytes, and the host that got it ended ("terminate called after throwing std::length_error, what(): field value too large"). All requests on its connections were cut, and the repeat of the same read ended the next host.

Cause: endpoint_exchange let the library read and parse in one composed operation. The library throws where a message cannot hold a field. The throw leaves a completion handler, so no frame of a coroutine is on the stack, asio keeps the exception and rethrows it from io.run(), and the worker has no handler there.

Thrown in basic_fields::insert from basic_parser::parse_chunk_header, called by http::detail::read_some_op in executor_op::do_complete; std::terminate below scheduler::run.

Why this works: bytes are read raw and parsed inside the coroutine that reads them (message_parser), where what the library throws is an error of that message. What else can fail has a stated end (task): an attempt counts as ended at its endpoint, its request as perhaps run, a request is answered, a connection closed and no longer counted, and work that must go on begins again. run_handlers is the last resort behind both.

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -114,9 +114,12 @@
 }
 
 /// Updates the load, work and failure statistics of the endpoint.
-void record_result(gateway_state& state, const running_attempt& it, const attempt_result& result,
+void record_result(gateway_state& state, running_attempt& it, const attempt_result& result,
                    traffic::work_kind kind, const std::optional<traffic::load_report>& report,
                    exchange_outcome outcome) {
+    if (std::exchange(it.recorded, true)) {
+        return;
+    }
     const auto now = monotonic::now();
     auto& endpoint = *it.placed.endpoint;
     const std::lock_guard guard(state.endpoints.mutex);
@@ -284,6 +287,18 @@
     co_return result;
 }
 
+void end_failed_attempt(gateway_state& state, const call& pending, const admitted_call& admitted,
+                        running_attempt& it) {
+    if (it.result) {
+        return;
+    }
+    close_on_strand(it.connection);
+    attempt_result result{attempt_outcome::lost, {}, "internal error", {}, {}};
+    record_result(state, it, result, work_kind_of(pending, admitted), {}, exchange_outcome::lost);
+    log_attempt_failed(state, pending, admitted.service, it, result);
+    it.result = std::move(result);
+}
+
 void cancel_attempt(running_attempt& it, cancel_reason why) {
     if (it.result || it.cancelled != cancel_reason::none) {
         return;
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -51,6 +51,8 @@
     /// Id of the request among the endpoint's work; unused if it was placed by load.
     std::uint64_t work_id{0};
     cancel_reason cancelled{cancel_reason::none};
+    /// Counted as ended at its endpoint.
+    bool recorded{false};
     /// Set when the attempt has ended.
     std::optional<attempt_result> result;
 };
@@ -67,6 +69,11 @@
 awaitable<attempt_result> run_attempt(gateway_state& state, call_ptr pending, const admitted_call& admitted,
                                       attempt_ptr it);
 
+/// Ends an attempt whose `run_attempt` failed: its request may have run. Runs on the strand of the caller's
+/// connection.
+void end_failed_attempt(gateway_state& state, const call& pending, const admitted_call& admitted,
+                        running_attempt& it);
+
 /// Cancels an attempt that has not ended. Must run on the strand of the caller's connection.
 void cancel_attempt(running_attempt& it, cancel_reason why);
 
--- a/source/core/gateway/call.h
+++ b/source/core/gateway/call.h
@@ -40,6 +40,8 @@
     common::time_point arrived_at;
     /// The caller closed its connection; the response is not needed any more.
     bool abandoned{false};
+    /// An attempt has begun.
+    bool may_have_run{false};
     /// The attempts that have not ended, oldest first.
     std::vector<std::shared_ptr<running_attempt>> running;
     std::unique_ptr<in_flight_mark> in_flight;
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <mutex>
+#include <utility>
 
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
@@ -12,6 +13,7 @@
 #include "core/common/log.h"
 #include "request_reader.h"
 #include "serve_call.h"
+#include "task.h"
 
 namespace lycheegap::gateway {
 
@@ -44,9 +46,11 @@
     co_await it.change_signal.async_wait(keep_error(ec));
 }
 
-/// Closes the socket and abandons all requests of the connection.
+/// Closes the socket and abandons all requests of the connection, unless that is done.
 void abort_connection(caller_connection& it) {
-    it.closed = true;
+    if (std::exchange(it.closed, true)) {
+        return;
+    }
     for (const auto& one : it.calls) {
         abandon_call(*one);
     }
@@ -102,6 +106,13 @@
     return poll(&one, 1, 0) > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+/// Stops counting the connection as open.
+void uncount(gateway_state& state, caller_connection& it) {
+    if (std::exchange(it.counted, false)) {
+        --state.open_callers;
+    }
+}
+
 /// Reader of a connection: reads requests and starts to serve them until the connection closes.
 awaitable<void> read_calls(gateway_state& state, caller_ptr it) {
     while (!it->closed && !it->closing) {
@@ -136,10 +147,11 @@
         }
         it->closing = it->closes_after_reading || !read->request.keep_alive();
         add_call(*it, read);
-        net::co_spawn(it->strand, serve_call(state, it, read), net::detached);
+        spawn_task(state, it->strand, "serve_call", serve_call(state, it, read),
+                   [&state, it, read] { end_failed_call(state, *it, *read); });
     }
     co_await drain_input(*it);
-    --state.open_callers;
+    uncount(state, *it);
 }
 
 /// Above half of the connection limit, responses ask callers to close: callers that retry leave their old
@@ -216,8 +228,11 @@
         state.callers.open.push_back(it);
     }
     common::count(state.metrics, "caller_connections");
-    net::co_spawn(strand, read_calls(state, it), net::detached);
-    net::co_spawn(strand, write_responses(state, it), net::detached);
+    spawn_task(state, strand, "read_calls", read_calls(state, it), [&state, it] {
+        abort_connection(*it);
+        uncount(state, *it);
+    });
+    spawn_task(state, strand, "write_responses", write_responses(state, it), [it] { abort_connection(*it); });
 }
 
 bool is_overdue(const caller_connection& it, common::time_point now) {
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -34,6 +34,8 @@
     bool closes_after_reading{false};
     /// The socket is closed.
     bool closed{false};
+    /// Counts in `gateway_state::open_callers`.
+    bool counted{true};
     /// The body that is being read was ended because the memory for calls is short.
     bool ended_for_memory{false};
     /// Bytes reserved for the request whose body is being read; 0 for none.
--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -3,14 +3,15 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "core/traffic/call_memory.h"
 #include "core/transport/listen_socket.h"
+#include "message_parser.h"
 
 namespace lycheegap::gateway {
 
@@ -38,6 +39,8 @@
 constexpr common::milliseconds idle_margin{1200};
 // Bytes of a response's framing, such as chunk headers, in addition to one for each byte of its body.
 constexpr std::size_t max_framing_bytes = 1U << 20U;
+// Largest single read of a response.
+constexpr std::size_t max_read_bytes = 64U << 10U;
 // Input buffer while a body is read.
 constexpr std::size_t body_input_bytes = 16U << 10U;
 // A larger input buffer is released between exchanges.
@@ -177,6 +180,38 @@
     return true;
 }
 
+/// Reads more of a response. Its end by close completes the response or is an error.
+awaitable<void> read_more(const connection_ptr& connection, string_response_parser& parser, error_code& ec) {
+    auto& input = connection->input;
+    const auto n = beast::read_size(input, max_read_bytes);
+    if (n == 0) {
+        ec = http::error::buffer_overflow;
+        co_return;
+    }
+    const auto received = co_await connection->stream.async_read_some(input.prepare(n), keep_error(ec));
+    input.commit(received);
+    if (ec != net::error::eof) {
+        co_return;
+    }
+    ec = {};
+    if (parser.got_some()) {
+        parser.put_eof(ec);
+    } else {
+        ec = http::error::end_of_stream;
+    }
+}
+
+/// Reads the head of a response.
+awaitable<void> read_head(const connection_ptr& connection, string_response_parser& parser, error_code& ec) {
+    while (!ec && !parser.is_header_done()) {
+        parse_input(parser, connection->input, ec);
+        if (ec == http::error::need_more) {
+            ec = {};
+            co_await read_more(connection, parser, ec);
+        }
+    }
+}
+
 /// Reads the rest of a response, checking the memory budget at each read.
 awaitable<void> read_body(const connection_ptr& connection, const exchange_request& request,
                           string_response_parser& parser, transport::memory_reservation& reservation,
@@ -196,8 +231,11 @@
             ec = http::error::body_limit;
             break;
         }
-        received +=
-            co_await http::async_read_some(connection->stream, connection->input, parser, keep_error(ec));
+        received += parse_input(parser, connection->input, ec);
+        if (ec == http::error::need_more) {
+            ec = {};
+            co_await read_more(connection, parser, ec);
+        }
         const auto size = parser.get().body().size();
         if (!ec && received > 2 * size + max_framing_bytes) {
             ec = http::error::bad_chunk_extension;
@@ -218,7 +256,7 @@
         parser.body_limit(request.body_limit);
         parser.skip(request.message.method() == http::verb::head);
         error_code ec;
-        co_await http::async_read_header(connection->stream, connection->input, parser, keep_error(ec));
+        co_await read_head(connection, parser, ec);
         if (!ec && request.on_head) {
             request.on_head(parser.get().base());
         }
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "load_exchange.h"
 #include "region_table.h"
 #include "request_reader.h"
+#include "task.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -97,11 +98,14 @@
     auto& state = *running->state;
     state.options.request_address = transport::join_address(address->ip, opened->port);
     running->listener = std::make_shared<tcp::acceptor>(net::make_strand(state.io), tcp::v4(), opened->fd);
-    net::co_spawn(running->listener->get_executor(), accept_callers(state, running->listener), net::detached);
-    net::co_spawn(state.io, run_maintenance(state), net::detached);
-    net::co_spawn(state.io, exchange_loads(state), net::detached);
+    spawn_service(state, running->listener->get_executor(), "accept_callers",
+                  [&state, listener = running->listener] { return accept_callers(state, listener); });
+    spawn_service(state, state.io.get_executor(), "run_maintenance",
+                  [&state] { return run_maintenance(state); });
+    spawn_service(state, state.io.get_executor(), "exchange_loads",
+                  [&state] { return exchange_loads(state); });
     for (int n = 0; n < state.options.workers; ++n) {
-        running->workers.emplace_back([&state] { state.io.run(); });
+        running->workers.emplace_back([&state] { run_handlers(state); });
     }
     common::log_info("listening", {field("callers", state.options.request_address)});
     return running;
@@ -116,17 +120,18 @@
     }
     state.stopping = true;
     common::log_info("stop_begun", {field("calls", state.requests_in_flight.load())});
-    net::co_spawn(state.io,
-                  run_at(state, plan.idle_close_at, [&state] { prune_caller_connections(state, true); }),
-                  net::detached);
-    net::co_spawn(state.io,
-                  run_at(state, plan.intake_end,
-                         [listener = running.listener, &state] {
-                             close_listener(listener);
-                             end_intake(state);
-                         }),
-                  net::detached);
-    net::co_spawn(state.io, stop_when_drained(state, plan), net::detached);
+    const auto executor = state.io.get_executor();
+    spawn_service(state, executor, "close_idle", [&state, plan] {
+        return run_at(state, plan.idle_close_at, [&state] { prune_caller_connections(state, true); });
+    });
+    spawn_service(state, executor, "end_intake", [&state, plan, listener = running.listener] {
+        return run_at(state, plan.intake_end, [listener, &state] {
+            close_listener(listener);
+            end_intake(state);
+        });
+    });
+    spawn_service(state, executor, "stop_when_drained",
+                  [&state, plan] { return stop_when_drained(state, plan); });
     for (auto& it : running.workers) {
         it.join();
     }
--- a/source/core/gateway/load_exchange.cpp
+++ b/source/core/gateway/load_exchange.cpp
@@ -8,6 +8,7 @@
 #include "core/schema/peer_codec.h"
 #include "core/traffic/load_sharing.h"
 #include "fleet_link.h"
+#include "task.h"
 
 namespace lycheegap::gateway {
 
@@ -123,8 +124,8 @@
             forget_former_partners(state, *fleet);
         }
         for (const auto& it : partners) {
-            net::co_spawn(state.io, exchange_with(state, it, fleet->members.at(it).peer_address, all),
-                          net::detached);
+            spawn_task(state, state.io.get_executor(), "exchange_with",
+                       exchange_with(state, it, fleet->members.at(it).peer_address, all));
         }
         all = all && partners.empty();
     }
--- a/source/core/gateway/request_reader.cpp
+++ b/source/core/gateway/request_reader.cpp
@@ -10,6 +10,7 @@
 #include "core/common/log.h"
 #include "core/traffic/call_memory.h"
 #include "message_headers.h"
+#include "message_parser.h"
 
 namespace lycheegap::gateway {
 
@@ -100,23 +101,12 @@
     }
 }
 
-/// Passes buffered input to the parser; `ec` is `need_more` when there is none left that it can take.
-std::size_t parse_input(caller_connection& it, pending_read& pending, error_code& ec) {
-    if (it.input.size() == 0) {
-        ec = http::error::need_more;
-        return 0;
-    }
-    const auto used = pending.parser.put(it.input.data(), ec);
-    it.input.consume(used);
-    return used;
-}
-
 awaitable<void> read_head(caller_connection& it, pending_read& pending, error_code& ec) {
     if (!transport::reserve_memory(pending.memory, pending.head_memory)) {
         ec = out_of_memory();
     }
     while (!ec && !pending.parser.is_header_done()) {
-        pending.head_bytes += parse_input(it, pending, ec);
+        pending.head_bytes += parse_input(pending.parser, it.input, ec);
         if (ec == http::error::need_more) {
             ec = {};
             co_await read_more(it, pending, ec);
@@ -158,7 +148,7 @@
             ec = out_of_memory();
             break;
         }
-        it.body_received += static_cast<std::int64_t>(parse_input(it, pending, ec));
+        it.body_received += static_cast<std::int64_t>(parse_input(pending.parser, it.input, ec));
         if (ec == http::error::need_more) {
             ec = {};
             co_await read_more(it, pending, ec);
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -10,6 +10,7 @@
 #include "core/traffic/second_attempt.h"
 #include "message_headers.h"
 #include "refusal.h"
+#include "task.h"
 #include "team_rates.h"
 
 namespace lycheegap::gateway {
@@ -26,6 +27,8 @@
 // Shortest time between two decisions about a second attempt.
 constexpr common::milliseconds min_decision_interval{100};
 
+// After an error of this host's own.
+constexpr common::milliseconds error_retry_after{1000};
 // A caller that a stopping host refuses can use another host at once.
 constexpr common::milliseconds stop_retry_after{0};
 
@@ -163,7 +166,12 @@
     const auto one = begin_attempt(state, *it, progress->admitted, std::move(placed), progress->tried.size());
     it->running.push_back(one);
     progress->decision_due = traffic::overdue_at(one->sent_at, progress->admitted.route->target_latency);
-    net::co_spawn(caller->strand, run_started(state, it, progress, one), net::detached);
+    it->may_have_run = true;
+    spawn_task(state, caller->strand, "run_attempt", run_started(state, it, progress, one),
+               [&state, it, progress, one] {
+                   end_failed_attempt(state, *it, progress->admitted, *one);
+                   progress->timer.cancel();
+               });
 }
 
 /// Applies the result of an attempt that has ended.
@@ -360,6 +368,19 @@
     }
 }
 
+void end_failed_call(gateway_state& state, caller_connection& caller, call& pending) {
+    for (const auto& one : pending.running) {
+        cancel_attempt(*one, cancel_reason::answered_by_other);
+    }
+    pending.running.clear();
+    if (!pending.response && !pending.abandoned) {
+        refuse(state, caller, pending,
+               pending.may_have_run ? refusal{.status = status_bad_gateway, .reason = "internal_error"}
+                                    : refusal{.reason = "internal_error", .retry_after = error_retry_after},
+               nullptr);
+    }
+}
+
 void abandon_call(call& pending) {
     pending.abandoned = true;
     for (const auto& one : pending.running) {
--- a/source/core/transport/peer_link.cpp
+++ b/source/core/transport/peer_link.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 using common::fail;
+using common::field;
 using common::step;
 
 constexpr std::uint64_t listener_event_id = 1;
@@ -230,14 +231,25 @@
     }
 }
 
+/// Handles one message on a worker. If that fails, its sender gets no answer.
+void handle_request(link_state& link, std::string_view peer, schema::byte_view message,
+                    const peer_responder& respond) {
+    try {
+        link.handler(message, respond);
+    } catch (const std::exception& exception) {
+        common::log_error("peer_message_failed", {field("peer", peer), field("reason", exception.what())});
+    }
+}
+
 void dispatch_requests(link_state& link, peer_session& session) {
     auto requests = std::exchange(session.requests, {});
     for (auto& it : requests) {
         const auto respond = [&link, id = session.id, stream = it.stream](schema::bytes answer) {
             queue_answer(link, {id, stream, std::move(answer)});
         };
-        link.pool->submit(
-            [&link, message = std::move(it.message), respond] { link.handler(message, respond); });
+        link.pool->submit([&link, message = std::move(it.message), respond, peer = session.peer] {
+            handle_request(link, peer, message, respond);
+        });
     }
 }
 
--- a/source/unit_tests/platform/decode_test.cpp
+++ b/source/unit_tests/platform/decode_test.cpp
@@ -83,6 +83,26 @@
     }
 }
 
+// Guards against an id or a name from the store that ends or forges a header of the requests passed on.
+TEST_CASE("ids and names that cannot be sent in a header are rejected") {
+    const std::string entry =
+        R"({"address":"10.0.0.1:80","info":{"service":"s","zone":"north","capacity":6},)"
+        R"("status":{"state":"ready","cold_remaining_s":0}})";
+    CHECK(decode_endpoint("i-1", entry, regions));
+    for (const auto& id : {std::string("i\r\nx: y"), std::string("i\n"), std::string("i\x7f"),
+                           std::string("i\0", 2), std::string(70'000, 'i')}) {
+        CAPTURE(id.substr(0, 10));
+        CHECK_FALSE(decode_endpoint(id, entry, regions));
+    }
+    const auto config = decode_configuration(
+        R"({"version":1,"resources":[{"resource_kind":"tenants","metadata":{"name":"t\r\nx: y"},)"
+        R"("spec":{"api_keys":["k1"]}},)"
+        R"({"resource_kind":"tenants","metadata":{"name":"t2"},"spec":{"api_keys":["k2"]}}]})");
+    REQUIRE(config);
+    CHECK(traffic::find_team(*config, "k1") == nullptr);
+    CHECK(traffic::find_team(*config, "k2")->name == "t2");
+}
+
 TEST_CASE("deeply nested and out-of-range values are rejected or ignored") {
     const std::string deep = std::string(400'000, '[') + std::string(400'000, ']');
     const std::string open = std::string(400'000, '[');
