Hosts that the store refuses hear from hosts that left and came back

Callers saw nothing; the fleet passed more of a team's requests than its limit allows.

Cause: two hosts are silent until their leases end, and the others drop them. The store then turns the others away and serves the two, which register again. The others ask only each other, all with old copies, take the store to be away for all and keep their parts of the limit. The two see the others' leases end and use the whole limit too.

Why this works: a host remembers those that left, with their addresses, for ten minutes, and asks one each 0.4 s while its copy is old. One that is served passes its state on, and with it who is a member and who is not. Shares of cold endpoints, homes that lend, and the configuration use the same knowledge.

--- a/source/core/traffic/fleet_view.cpp
+++ b/source/core/traffic/fleet_view.cpp
@@ -21,19 +21,29 @@
         view.member_since = now;
     }
     std::erase_if(view.former, [&](const auto& it) { return it.name == change.name; });
+    std::erase_if(view.departed, [&](const auto& it) { return it.entry.name == change.name; });
     view.members[change.name] = std::move(*change.member);
 }
 
+void remember_departed(fleet_view& view, fleet_member entry, common::time_point now) {
+    if (view.departed.size() == max_departed_hosts) {
+        view.departed.erase(view.departed.begin());
+    }
+    view.departed.push_back({std::move(entry), now});
+}
+
 bool erase_member(fleet_view& view, std::string_view name, std::string_view own_host,
                   common::time_point now) {
     const auto found = view.members.find(name);
     if (found == view.members.end()) {
         return false;
     }
-    view.members.erase(found);
     if (name == own_host) {
         view.member_since.reset();
+    } else {
+        remember_departed(view, std::move(found->second), now);
     }
+    view.members.erase(found);
     view.former.push_back({std::string(name), now});
     return true;
 }
@@ -66,11 +76,17 @@
 
 bool has_expired_former(const fleet_view& view, common::time_point now) {
     return std::any_of(view.former.begin(), view.former.end(),
-                       [&](const auto& it) { return it.left_at + handover_time <= now; });
+                       [&](const auto& it) { return it.left_at + handover_time <= now; }) ||
+           std::any_of(view.departed.begin(), view.departed.end(),
+                       [&](const auto& it) { return it.left_at + departed_time <= now; });
 }
 
 bool forget_former(fleet_view& view, common::time_point now) {
-    return std::erase_if(view.former, [&](const auto& it) { return it.left_at + handover_time <= now; }) > 0;
+    const auto former =
+        std::erase_if(view.former, [&](const auto& it) { return it.left_at + handover_time <= now; });
+    const auto departed =
+        std::erase_if(view.departed, [&](const auto& it) { return it.left_at + departed_time <= now; });
+    return former + departed > 0;
 }
 
 std::size_t sharing_hosts(const fleet_view& view) {
--- a/source/core/traffic/fleet_view.h
+++ b/source/core/traffic/fleet_view.h
@@ -25,6 +25,17 @@
     common::time_point left_at;
 };
 
+/// How long a host that left the fleet is remembered with its addresses. It may run on, and come back without
+/// this host noticing.
+inline constexpr common::milliseconds departed_time{600'000};
+inline constexpr std::size_t max_departed_hosts = 64;
+
+/// A host that left the fleet and has not been seen to come back.
+struct departed_host {
+    fleet_member entry;
+    common::time_point left_at;
+};
+
 /// The fleet's membership as seen by one host (the own host). Readers share immutable snapshots.
 struct fleet_view {
     fleet_members members;
@@ -32,6 +43,8 @@
     std::vector<std::string> names;
     /// Hosts that left within the last `handover_time` and may not know it yet.
     std::vector<former_member> former;
+    /// Hosts that left within `departed_time`, the last ones, oldest first.
+    std::vector<departed_host> departed;
     /// Since when the own host has been a member without interruption; empty while it is not a member.
     std::optional<common::time_point> member_since;
     /// Expected share of all callers that use the own host, from 0 to 1; 0 while it is not a member.
@@ -56,10 +69,11 @@
 bool remove_member(fleet_view& view, std::string_view name, std::string_view own_host,
                    common::time_point now);
 
-/// Whether a former member left at least `handover_time` ago.
+/// Whether there is a host that `forget_former` would drop.
 bool has_expired_former(const fleet_view& view, common::time_point now);
 
-/// Drops former members that left at least `handover_time` ago. Returns whether any was dropped.
+/// Drops former members that left at least `handover_time` ago, and departed hosts that left at least
+/// `departed_time` ago. Returns whether any was dropped.
 bool forget_former(fleet_view& view, common::time_point now);
 
 /// Number of hosts among which a fleet-wide limit is divided: members and former members. 0 while the own
--- a/source/core/traffic/store_outage.h
+++ b/source/core/traffic/store_outage.h
@@ -14,7 +14,9 @@
 // While the store confirms nothing to any host, the fleet's members stay as they are: nobody can join, and no
 // host can learn that another one has left. A host may then go on using its shares of fleet-wide limits. That
 // the store is away for all hosts, and not only for this one, is known from other hosts: each asks a few
-// neighbours in turn, and a neighbour with a newer state passes it on.
+// neighbours in turn, and a neighbour with a newer state passes it on. Hosts that left the fleet are asked
+// too: one that was only silent may have come back, and then the store serves it and others count on what it
+// confirms. They are no witnesses, since a host that was silent has an old state for reasons of its own.
 
 /// How long another host's answer that its state of the store is outdated counts.
 inline constexpr common::milliseconds witness_validity{2000};
--- a/source/unit_tests/platform/follow_store_test.cpp
+++ b/source/unit_tests/platform/follow_store_test.cpp
@@ -151,6 +151,26 @@
     CHECK(holds_within(apply_limit_ms, [&] { return has_version(late, 2); }));
 }
 
+// Guards against hosts that take the store to be away for all, because the only hosts that it serves were
+// silent for a while, left the fleet and came back unseen.
+TEST_CASE("hosts that the store refuses hear from a host that left the fleet and came back") {
+    in_process_fleet fleet(4);
+    wait_for_start(fleet);
+    auto& back = *fleet.hosts.front();
+    // Its lease runs out.
+    back.listener.refusing = true;
+    REQUIRE(all_hosts_within(fleet, start_limit_ms, [](const auto& it) { return member_count(it) == 3; }));
+    for (const auto& it : fleet.hosts) {
+        it->listener.refusing = true;
+    }
+    // Watches that have begun end.
+    std::this_thread::sleep_for(common::milliseconds(1500));
+    back.listener.refusing = false;
+    change_configuration(fleet, 2);
+    CHECK(all_hosts_within(fleet, apply_limit_ms + start_limit_ms,
+                           [](const auto& it) { return has_version(it, 2); }));
+}
+
 TEST_CASE("changes of an endpoint reach all hosts after many heartbeats") {
     in_process_fleet fleet(5);
     wait_for_start(fleet);
--- a/source/unit_tests/traffic/fleet_view_test.cpp
+++ b/source/unit_tests/traffic/fleet_view_test.cpp
@@ -64,4 +64,31 @@
     CHECK(count_allowed_retries(25) == 3);
 }
 
+// Guards against a host that comes back unseen because nobody remembers where it was.
+TEST_CASE("hosts that left are remembered for a while with their addresses, and no more than some") {
+    fleet_view view;
+    add_member(view, member_named("a"), "a", model_start);
+    add_member(view, member_named("b"), "a", model_start);
+    remove_member(view, "b", "a", model_start);
+    REQUIRE(view.departed.size() == 1);
+    CHECK(view.departed[0].entry.request_address == "b:1");
+    CHECK(forget_former(view, model_start + handover_time));
+    CHECK(view.departed.size() == 1);
+    CHECK(has_expired_former(view, model_start + departed_time));
+    CHECK(forget_former(view, model_start + departed_time));
+    CHECK(view.departed.empty());
+    // A host that is back has not departed, and neither has the own one.
+    remove_member(view, "a", "a", model_start);
+    CHECK(view.departed.empty());
+    for (std::size_t n = 0; n < max_departed_hosts + 2; ++n) {
+        const auto name = "h" + std::to_string(n);
+        add_member(view, member_named(name), "a", model_start);
+        remove_member(view, name, "a", model_start);
+    }
+    REQUIRE(view.departed.size() == max_departed_hosts);
+    CHECK(view.departed.front().entry.name == "h2");
+    add_member(view, member_named("h2"), "a", model_start);
+    CHECK(view.departed.front().entry.name == "h3");
+}
+
 } // namespace lycheegap::traffic
--- a/source/unit_tests/traffic/outage_rates_test.cpp
+++ b/source/unit_tests/traffic/outage_rates_test.cpp
@@ -36,6 +36,7 @@
 constexpr int lease_ms = 4000;
 constexpr int read_interval_ms = 500;
 constexpr int question_interval_ms = 200;
+constexpr int departed_interval_ms = 400;
 constexpr int maintenance_interval_ms = 250;
 constexpr int stale_ms = 1500;
 constexpr int reregistration_ms = 2000;
@@ -69,6 +70,7 @@
     std::vector<std::string> homes;
     std::vector<std::string> neighbours;
     std::size_t next_neighbour{0};
+    std::size_t next_departed{0};
     outage_evidence evidence;
     /// When the store confirmed the view.
     int confirmed_at{0};
@@ -213,18 +215,14 @@
     host.confirmed_at = ms;
 }
 
-/// Asks the next neighbour, which passes its view on if that is newer.
-void ask_neighbour(fleet_model& it, model_host& host, int ms) {
-    if (host.neighbours.empty()) {
-        return;
-    }
-    const auto& name = host.neighbours[host.next_neighbour++ % host.neighbours.size()];
+/// Asks a host, which passes its view on if that is newer.
+void ask_host(fleet_model& it, model_host& host, const std::string& name, int ms) {
     const auto& other = *std::find_if(it.hosts.begin(), it.hosts.end(),
                                       [&](const auto& one) { return one.member.name == name; });
     if (ms < other.paused_until) {
         return;
     }
-    if (ms - other.confirmed_at > stale_ms) {
+    if (ms - other.confirmed_at > stale_ms && host.view.members.contains(name)) {
         note_witness(host.evidence, name, boot_at(ms));
     }
     if (other.confirmed_at > host.confirmed_at) {
@@ -235,6 +233,18 @@
     }
 }
 
+/// Asks the next neighbour and the next host that left the fleet, each when it is due.
+void ask_others(fleet_model& it, model_host& host, int ms, int phase_ms) {
+    if (!host.neighbours.empty() && (ms + phase_ms) % question_interval_ms == 0) {
+        const auto name = host.neighbours[host.next_neighbour++ % host.neighbours.size()];
+        ask_host(it, host, name, ms);
+    }
+    if (!host.view.departed.empty() && (ms + phase_ms) % departed_interval_ms == 0) {
+        const auto name = host.view.departed[host.next_departed++ % host.view.departed.size()].entry.name;
+        ask_host(it, host, name, ms);
+    }
+}
+
 /// Ends leases that ran out; in an outage for all hosts they may be suspended instead.
 void expire_leases(fleet_model& it, int ms) {
     const bool away = in_outage(it, ms) && it.plan.refused_share >= 1;
@@ -328,8 +338,8 @@
         if ((ms + number * step_ms) % read_interval_ms == 0) {
             call_store(it, host, ms);
         }
-    } else if (ms - host.confirmed_at > stale_ms && (ms + number * step_ms) % question_interval_ms == 0) {
-        ask_neighbour(it, host, ms);
+    } else if (ms - host.confirmed_at > stale_ms) {
+        ask_others(it, host, ms, number * step_ms);
     }
     const double mean = it.limited_team.rate * it.plan.demand * step_ms / 1000.0 / it.plan.hosts;
     const int wanted = std::poisson_distribution(mean)(it.random);
