A stopping host answers or refuses every request that it reads

Callers saw: under planned work only, a connection closed without an answer or a refusal, 1.5 s or 2.1 s after SIGTERM, though the host had read the whole request; or at the end of the stop, though the answer was ready.

Cause, first form: a connection counted as idle if nothing had been read from it. A request that waited in the socket, or for the strand, when the close was decided was read and dropped, and so was what came later: the socket was half-closed, so nothing could be answered, and the reader went on. Second form: an answer waited behind an older request of its connection that the host passed on once more 0.8 s before the end, without asking whether its answer can be expected; at the end all was cut together.

Why this works: an unused connection is closed only if nothing has arrived and nothing is under way, and entirely, so that what comes later is never read and the caller's machine gets a reset. Where a caller can't know of the close, one more request is read and answered or refused. Another attempt is made only if a new request would be taken. At 90% of the time what has no answer is given up, so that what is ready behind it is written until 95.5% (before: cut at 94%).

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -205,11 +205,19 @@
 }
 
 std::string_view end_name(const running_attempt& it, const attempt_result& result) {
-    if (it.cancelled == cancel_reason::caller_left) {
+    switch (it.cancelled) {
+    case cancel_reason::caller_left:
         return "caller_left";
+    case cancel_reason::answered_by_other:
+        return "answered_by_other";
+    case cancel_reason::stopping:
+        return "stopping";
+    case cancel_reason::internal_error:
+        return "internal_error";
+    case cancel_reason::none:
+        break;
     }
-    return it.cancelled == cancel_reason::answered_by_other ? "answered_by_other"
-                                                            : exchange_end_name(result.ended_by);
+    return exchange_end_name(result.ended_by);
 }
 
 /// Logs the end of an attempt that was not answered, with what could replace it at that moment.
--- a/source/core/gateway/attempt.h
+++ b/source/core/gateway/attempt.h
@@ -34,7 +34,7 @@
 };
 
 /// Why this host cancelled an attempt.
-enum class cancel_reason : std::uint8_t { none, caller_left, answered_by_other };
+enum class cancel_reason : std::uint8_t { none, caller_left, answered_by_other, stopping, internal_error };
 
 /// One attempt of a request. Accessed only on the strand of the caller's connection.
 struct running_attempt {
--- a/source/core/gateway/caller_connection.cpp
+++ b/source/core/gateway/caller_connection.cpp
@@ -6,8 +6,10 @@
 #include <utility>
 
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "core/common/log.h"
@@ -148,7 +150,7 @@
         it->closing = it->closes_after_reading || !read->request.keep_alive();
         add_call(*it, read);
         spawn_task(state, it->strand, "serve_call", serve_call(state, it, read),
-                   [&state, it, read] { end_failed_call(state, *it, *read); });
+                   [&state, it, read] { give_up_call(state, *it, *read, give_up_reason::internal_error); });
     }
     co_await drain_input(*it);
     uncount(state, *it);
@@ -172,6 +174,7 @@
     if (closes) {
         it.closing = true;
     }
+    it.writing_open = !closes && it.calls.size() == 1;
     first->response->keep_alive(!closes);
     if (first->request.version() < 11) {
         first->response->version(first->request.version());
@@ -179,6 +182,7 @@
     error_code ec;
     set_io_deadline(it, monotonic::now() + state.options.write_time);
     co_await http::async_write(it.socket, *first->response, keep_error(ec));
+    it.writing_open = false;
     it.calls.pop_front();
     if (ec) {
         co_return false;
@@ -256,26 +260,64 @@
     return idle;
 }
 
-/// Closes the connection if its deadline has passed or its caller has left, or, with `close_idle`, if no
-/// request is in flight.
-void close_if_stale(const caller_ptr& it, bool close_idle) {
-    const bool overdue = is_overdue(*it, monotonic::now());
-    const bool unused = close_idle && it->calls.empty() && !it->closing && !it->reading;
-    if (!it->closed && unused) {
-        // The reader goes on, to discard input that the caller sent before it noticed the close.
-        it->closing = true;
-        error_code ec;
-        it->socket.shutdown(tcp::socket::shutdown_send, ec);
-        set_io_deadline(*it, monotonic::now() + linger_timeout);
-        return;
+/// Whether input has arrived that the reader has not taken yet.
+bool has_unread_input(caller_connection& it) {
+    char byte = 0;
+    return it.input.size() > 0 || recv(it.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// Whether a part of the last response has not reached the caller's machine.
+bool has_unsent_output(caller_connection& it) {
+    int n = 0;
+    return ioctl(it.socket.native_handle(), SIOCOUTQ, &n) == 0 && n > 0;
+}
+
+/// Whether the connection has no request, as far as this host can know.
+bool is_unused(const caller_connection& it) {
+    return it.calls.empty() && !it.reading && !it.closing && !it.closed;
+}
+
+/// Closes an unused connection; false if it has to stay open for a request that has arrived, or for a
+/// response that is still under way. The socket is closed at once: if it were only half-closed, requests that
+/// are on their way would be read and could not be answered. One that comes after the close is never read,
+/// and its caller is told by a reset.
+bool close_if_unused(gateway_state& state, caller_connection& it) {
+    if (!is_unused(it)) {
+        return false;
+    }
+    if (has_unread_input(it) || has_unsent_output(it)) {
+        common::count(state.metrics, "idle_closes_put_off");
+        return false;
     }
+    common::count(state.metrics, "idle_connections_closed");
+    abort_connection(it);
+    return true;
+}
+
+/// Closes the connection if its deadline has passed or its caller has left.
+void close_if_stale(caller_connection& it) {
     // While the pipeline is full the reader does not read, so it would not notice that the caller has left.
-    const bool abandoned = it->calls.size() >= pipeline_depth && !it->closed && has_hung_up(*it);
-    if (!it->closed && (overdue || abandoned)) {
-        abort_connection(*it);
+    const bool abandoned = it.calls.size() >= pipeline_depth && !it.closed && has_hung_up(it);
+    if (!it.closed && (is_overdue(it, monotonic::now()) || abandoned)) {
+        abort_connection(it);
     }
 }
 
+/// Lets the connection read no request after which a response would not announce the close.
+void end_reading(gateway_state& state, caller_connection& it) {
+    if (it.closed || it.closing || close_if_unused(state, it)) {
+        return;
+    }
+    // A caller repeats what it sent behind a response that closes the connection, but not a request that it
+    // sent without knowing of the close, or of which this host has read a part.
+    if (it.calls.empty() || it.writing_open) {
+        it.closes_after_reading = true;
+        return;
+    }
+    it.closing = true;
+    signal_change(it);
+}
+
 } // namespace
 
 traffic::caller_limits limits_of(gateway_state& state) {
@@ -323,16 +365,16 @@
 
 void end_intake(gateway_state& state) {
     for (const auto& it : open_callers(state)) {
-        net::post(it->strand, [it] {
-            close_if_stale(it, true);
-            // A caller repeats what it sent behind a response that closes the connection, but not a request
-            // of which this host has read a part.
-            if (it->reading && it->calls.empty()) {
-                it->closes_after_reading = true;
-                return;
+        net::post(it->strand, [&state, it] { end_reading(state, *it); });
+    }
+}
+
+void give_up_calls(gateway_state& state) {
+    for (const auto& it : open_callers(state)) {
+        net::post(it->strand, [&state, it] {
+            for (const auto& one : it->calls) {
+                give_up_call(state, *it, *one, give_up_reason::stopping);
             }
-            it->closing = true;
-            signal_change(*it);
         });
     }
 }
@@ -341,14 +383,16 @@
     const auto now = monotonic::now();
     const auto open = open_callers(state);
     for (const auto& it : open) {
-        if (is_overdue(*it, now) || it->pipeline_full || (close_idle && it->idle)) {
-            net::post(it->strand, [it, close_idle] { close_if_stale(it, close_idle); });
+        if (is_overdue(*it, now) || it->pipeline_full) {
+            net::post(it->strand, [it] { close_if_stale(*it); });
+        } else if (close_idle && it->idle) {
+            net::post(it->strand, [&state, it] { close_if_unused(state, *it); });
         }
     }
     for (const auto& it : surplus_idle_connections(state, open)) {
-        net::post(it->strand, [it] {
-            close_if_stale(it, true);
-            if (it->reading && it->calls.empty() && it->body_held == 0 && !it->closing) {
+        net::post(it->strand, [&state, it] {
+            const bool closed = close_if_unused(state, *it);
+            if (!closed && it->reading && it->calls.empty() && it->body_held == 0 && !it->closing) {
                 abort_connection(*it);
             }
         });
--- a/source/core/gateway/caller_connection.h
+++ b/source/core/gateway/caller_connection.h
@@ -30,8 +30,10 @@
     bool closing{false};
     /// Input of a request has arrived that has not been read in full.
     bool reading{false};
-    /// The request that is being read is the last one of the connection.
+    /// The request that is read next or is being read is the last one of the connection.
     bool closes_after_reading{false};
+    /// A response that keeps the connection open is being written, and no other request is in flight.
+    bool writing_open{false};
     /// The socket is closed.
     bool closed{false};
     /// Counts in `gateway_state::open_callers`.
@@ -73,9 +75,15 @@
 /// Accepts connections until the listener is closed.
 awaitable<void> accept_callers(gateway_state& state, std::shared_ptr<tcp::acceptor> listener);
 
-/// Lets open connections read no further request, and closes the idle ones: for a graceful stop.
+/// For a graceful stop: closes idle connections, and lets the others read no request behind a response that
+/// announces the close. A request that has arrived, or that a caller may still send without knowing of the
+/// close, is read and answered or refused.
 void end_intake(gateway_state& state);
 
+/// For a graceful stop: answers all requests that have no response yet as not run, or as perhaps run, so that
+/// responses behind them can be written.
+void give_up_calls(gateway_state& state);
+
 /// Closes connections whose I/O deadline has passed or whose caller has left, and the longest idle ones when
 /// too many are open. With `close_idle`, for a graceful stop, closes all idle ones.
 void prune_caller_connections(gateway_state& state, bool close_idle);
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -25,13 +25,19 @@
 constexpr milliseconds maintenance_interval{250};
 constexpr milliseconds drain_poll_interval{25};
 
+/// Whether a stop has come so far that idle connections of callers are closed.
+bool closes_idle_connections(gateway_state& state) {
+    const auto plan = current_stop_plan(state);
+    return plan && monotonic::now() >= plan->idle_close_at;
+}
+
 /// Periodic maintenance: prunes connections, answers expired mirror queries, tracks which teams this host is
 /// home of, divides services over the regions, and removes endpoints and former members that are due.
 awaitable<void> run_maintenance(gateway_state& state) {
     net::steady_timer timer(state.io);
     while (true) {
         co_await wait_until(timer, monotonic::now() + maintenance_interval);
-        prune_caller_connections(state, false);
+        prune_caller_connections(state, closes_idle_connections(state));
         end_slow_bodies(state);
         prune_endpoint_connections(state);
         answer_expired_waiters(state.mirror);
@@ -64,18 +70,24 @@
 }
 
 /// Stops the I/O context, which ends the workers, once nothing is in flight or may still arrive, but not
-/// before `plan.intake_end`, and at `plan.drain_end` in any case.
+/// before `plan.intake_end`, and at `plan.flush_end` in any case.
 awaitable<void> stop_when_drained(gateway_state& state, traffic::stop_plan plan) {
     net::steady_timer timer(state.io);
     co_await wait_until(timer, plan.intake_end);
     traffic::drain_progress progress;
+    bool drained = false;
     while (!traffic::may_end(plan, progress, monotonic::now())) {
         co_await wait_until(timer, monotonic::now() + drain_poll_interval);
         const int in_flight = state.requests_in_flight;
         if (in_flight == 0) {
-            // Connections that were accepted while the listener was being closed.
+            // Connections that were accepted while the listener was being closed, and those that had to stay
+            // open.
             end_intake(state);
         }
+        if (!drained && monotonic::now() >= plan.drain_end) {
+            drained = true;
+            give_up_calls(state);
+        }
         traffic::note_in_flight(progress, in_flight, monotonic::now());
     }
     state.io.stop();
--- a/source/core/gateway/serve_call.cpp
+++ b/source/core/gateway/serve_call.cpp
@@ -27,6 +27,8 @@
 // Shortest time between two decisions about a second attempt.
 constexpr common::milliseconds min_decision_interval{100};
 
+constexpr std::string_view stop_reason = "stopping";
+constexpr std::string_view error_reason = "internal_error";
 // After an error of this host's own.
 constexpr common::milliseconds error_retry_after{1000};
 // A caller that a stopping host refuses can use another host at once.
@@ -91,6 +93,16 @@
     finish(state, caller, it, make_refusal(why, it.request), progress, why.reason);
 }
 
+/// Whether this host is stopping and can't expect the answer before its end.
+bool is_too_late(gateway_state& state, const admitted_call& it) {
+    const auto plan = state.stopping ? current_stop_plan(state) : std::nullopt;
+    return plan && !traffic::may_take(*plan,
+                                      {.idempotent = it.route->idempotent,
+                                       .target_latency = it.route->target_latency,
+                                       .response_deadline = it.response_deadline},
+                                      monotonic::now());
+}
+
 /// Response when no further attempt is made and no endpoint responded. A request that has surely not run is
 /// refused as such, with a time to return.
 refusal final_refusal(gateway_state& state, const call& it, const call_progress& progress) {
@@ -99,6 +111,9 @@
         return is_late ? refusal{.status = status_timeout, .reason = "timed_out"}
                        : refusal{.status = status_bad_gateway, .reason = "endpoint_failed"};
     }
+    if (is_too_late(state, progress.admitted)) {
+        return {.reason = stop_reason, .retry_after = stop_retry_after};
+    }
     return {.status = status_unavailable,
             .reason = is_late ? "timed_out" : "no_endpoint",
             .retry_after = suggested_retry_after(state, progress.admitted,
@@ -106,7 +121,7 @@
 }
 
 /// Why no further attempt may follow a failed one; empty if one may.
-std::string_view retry_obstacle(const call_progress& progress) {
+std::string_view retry_obstacle(gateway_state& state, const call_progress& progress) {
     const auto& route = *progress.admitted.route;
     if (static_cast<int>(progress.tried.size()) >= route.attempt_limit) {
         return "attempt_limit";
@@ -114,7 +129,10 @@
     if (progress.may_have_run && !route.idempotent) {
         return "not_idempotent";
     }
-    return monotonic::now() >= progress.admitted.response_deadline ? "response_deadline" : "";
+    if (monotonic::now() >= progress.admitted.response_deadline) {
+        return "response_deadline";
+    }
+    return is_too_late(state, progress.admitted) ? stop_reason : "";
 }
 
 void log_retry_refused(gateway_state& state, const call& it, const call_progress& progress,
@@ -135,7 +153,7 @@
         log_retry_refused(state, it, progress, why);
         return std::nullopt;
     };
-    if (const auto why = retry_obstacle(progress); !why.empty()) {
+    if (const auto why = retry_obstacle(state, progress); !why.empty()) {
         return refused(why);
     }
     // A placement at a cold endpoint counts against its limit, so it must not be made in vain.
@@ -165,8 +183,8 @@
     progress->last_endpoint = placed.entry.id;
     const auto one = begin_attempt(state, *it, progress->admitted, std::move(placed), progress->tried.size());
     it->running.push_back(one);
-    progress->decision_due = traffic::overdue_at(one->sent_at, progress->admitted.route->target_latency);
     it->may_have_run = true;
+    progress->decision_due = traffic::overdue_at(one->sent_at, progress->admitted.route->target_latency);
     spawn_task(state, caller->strand, "run_attempt", run_started(state, it, progress, one),
                [&state, it, progress, one] {
                    end_failed_attempt(state, *it, progress->admitted, *one);
@@ -284,16 +302,6 @@
     it->running.clear();
 }
 
-/// Whether this host is stopping and can't expect the answer before its end.
-bool is_too_late(gateway_state& state, const admitted_call& it) {
-    const auto plan = state.stopping ? current_stop_plan(state) : std::nullopt;
-    return plan && !traffic::may_take(*plan,
-                                      {.idempotent = it.route->idempotent,
-                                       .target_latency = it.route->target_latency,
-                                       .response_deadline = it.response_deadline},
-                                      monotonic::now());
-}
-
 /// Takes a token of the team's rate limit, unless the route needs no key. Returns the Retry-After time when
 /// the team exceeds its rate, empty when the request may proceed.
 awaitable<std::optional<common::milliseconds>> acquire_rate_token(gateway_state& state,
@@ -346,12 +354,17 @@
         const auto progress = std::make_shared<call_progress>(caller->strand);
         progress->admitted = std::move(std::get<admitted_call>(decision));
         if (is_too_late(state, progress->admitted)) {
-            refuse(state, *caller, *pending, {.reason = "stopping", .retry_after = stop_retry_after},
+            refuse(state, *caller, *pending, {.reason = stop_reason, .retry_after = stop_retry_after},
                    progress.get());
             co_return;
         }
         const auto retry_after = co_await acquire_rate_token(state, progress->admitted);
-        if (retry_after && pending->abandoned) {
+        if (pending->response) {
+            // Given up meanwhile.
+            if (!retry_after) {
+                return_unused_token(state, progress->admitted);
+            }
+        } else if (retry_after && pending->abandoned) {
             common::count(state.metrics, "requests_abandoned");
             log_call(state, *pending, progress.get(), "abandoned");
         } else if (retry_after) {
@@ -360,7 +373,7 @@
         } else if (is_too_late(state, progress->admitted)) {
             // The question to the team's home took the time that was left.
             return_unused_token(state, progress->admitted);
-            refuse(state, *caller, *pending, {.reason = "stopping", .retry_after = stop_retry_after},
+            refuse(state, *caller, *pending, {.reason = stop_reason, .retry_after = stop_retry_after},
                    progress.get());
         } else {
             co_await run_attempts(state, caller, pending, progress);
@@ -368,16 +381,20 @@
     }
 }
 
-void end_failed_call(gateway_state& state, caller_connection& caller, call& pending) {
+void give_up_call(gateway_state& state, caller_connection& caller, call& pending, give_up_reason why) {
+    const bool stopping = why == give_up_reason::stopping;
     for (const auto& one : pending.running) {
-        cancel_attempt(*one, cancel_reason::answered_by_other);
+        cancel_attempt(*one, stopping ? cancel_reason::stopping : cancel_reason::internal_error);
     }
-    pending.running.clear();
-    if (!pending.response && !pending.abandoned) {
+    if (pending.response || pending.abandoned) {
+        return;
+    }
+    const auto reason = stopping ? stop_reason : error_reason;
+    if (pending.may_have_run) {
+        refuse(state, caller, pending, {.status = status_bad_gateway, .reason = reason}, nullptr);
+    } else {
         refuse(state, caller, pending,
-               pending.may_have_run ? refusal{.status = status_bad_gateway, .reason = "internal_error"}
-                                    : refusal{.reason = "internal_error", .retry_after = error_retry_after},
-               nullptr);
+               {.reason = reason, .retry_after = stopping ? stop_retry_after : error_retry_after}, nullptr);
     }
 }
 
--- a/source/core/traffic/graceful_stop.cpp
+++ b/source/core/traffic/graceful_stop.cpp
@@ -8,7 +8,9 @@
 // elsewhere; the rest is for requests in flight.
 constexpr double idle_close_fraction = 0.25;
 constexpr double intake_fraction = 0.35;
-constexpr double drain_fraction = 0.94;
+constexpr double drain_fraction = 0.9;
+// The rest is for the end of the process.
+constexpr double flush_fraction = 0.955;
 // Time that an answer may take, in multiples of the target latency: an object that the endpoint has not
 // cached takes twice the target, and the request may wait for a slot before. A cut request that is not
 // idempotent cannot be repeated by its caller, so it needs more time.
@@ -26,7 +28,8 @@
 stop_plan plan_stop(common::time_point now, common::milliseconds length) {
     return {.idle_close_at = now + fraction_of(length, idle_close_fraction),
             .intake_end = now + fraction_of(length, intake_fraction),
-            .drain_end = now + fraction_of(length, drain_fraction)};
+            .drain_end = now + fraction_of(length, drain_fraction),
+            .flush_end = now + fraction_of(length, flush_fraction)};
 }
 
 bool may_take(const stop_plan& plan, const stop_candidate& request, common::time_point now) {
@@ -46,7 +49,7 @@
 }
 
 bool may_end(const stop_plan& plan, const drain_progress& it, common::time_point now) {
-    return now >= plan.drain_end + settle_time || (it.idle_since && now >= *it.idle_since + settle_time);
+    return now >= plan.flush_end || (it.idle_since && now >= *it.idle_since + settle_time);
 }
 
 } // namespace lycheegap::traffic
--- a/source/core/traffic/graceful_stop.h
+++ b/source/core/traffic/graceful_stop.h
@@ -8,12 +8,15 @@
 
 /// Deadlines of a host's graceful stop, in order.
 struct stop_plan {
-    /// Idle connections of callers are closed.
+    /// From then on, idle connections of callers are closed.
     common::time_point idle_close_at;
     /// The listener is closed, and no further request is read from open connections.
     common::time_point intake_end;
-    /// Requests that are still in flight are cut.
+    /// Requests that are not answered yet are given up, so that answers that wait behind them can be
+    /// delivered.
     common::time_point drain_end;
+    /// The host ends, with what has been delivered until then.
+    common::time_point flush_end;
 };
 
 /// The plan of a stop that begins at `now` and may take `length`.
@@ -41,7 +44,7 @@
 /// Records how many requests are in flight, those included that are still being read.
 void note_in_flight(drain_progress& it, int in_flight, common::time_point now);
 
-/// Whether the host may end: the time for the drain is over, or nothing has been in flight for long enough
+/// Whether the host may end: its time is over, or nothing has been in flight for long enough
 /// that the last responses are written.
 bool may_end(const stop_plan& plan, const drain_progress& it, common::time_point now);
 
--- a/source/unit_tests/traffic/graceful_stop_test.cpp
+++ b/source/unit_tests/traffic/graceful_stop_test.cpp
@@ -23,7 +23,8 @@
     const auto plan = plan_stop(begin, stop_length);
     CHECK(plan.idle_close_at < plan.intake_end);
     CHECK(plan.intake_end < plan.drain_end);
-    CHECK(plan.drain_end < begin + stop_length);
+    CHECK(plan.drain_end < plan.flush_end);
+    CHECK(plan.flush_end < begin + stop_length);
     for (int tenth = 0; tenth < 10; ++tenth) {
         CAPTURE(tenth);
         const auto now = begin + stop_length * tenth / 10;
