--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -110,12 +110,12 @@
     auto& state = *running->state;
     state.options.request_address = transport::join_address(address->ip, opened->port);
     running->listener = std::make_shared<tcp::acceptor>(net::make_strand(state.io), tcp::v4(), opened->fd);
-    spawn_service(state, running->listener->get_executor(), "accept_callers",
-                  [&state, listener = running->listener] { return accept_callers(state, listener); });
-    spawn_service(state, state.io.get_executor(), "run_maintenance",
-                  [&state] { return run_maintenance(state); });
-    spawn_service(state, state.io.get_executor(), "exchange_loads",
-                  [&state] { return exchange_loads(state); });
+    spawn_permanent_task(state, running->listener->get_executor(), "accept_callers",
+                         [&state, listener = running->listener] { return accept_callers(state, listener); });
+    spawn_permanent_task(state, state.io.get_executor(), "run_maintenance",
+                         [&state] { return run_maintenance(state); });
+    spawn_permanent_task(state, state.io.get_executor(), "exchange_loads",
+                         [&state] { return exchange_loads(state); });
     for (int n = 0; n < state.options.workers; ++n) {
         running->workers.emplace_back([&state] { run_handlers(state); });
     }
@@ -133,17 +133,17 @@
     state.stopping = true;
     common::log_info("stop_begun", {field("calls", state.requests_in_flight.load())});
     const auto executor = state.io.get_executor();
-    spawn_service(state, executor, "close_idle", [&state, plan] {
+    spawn_permanent_task(state, executor, "close_idle", [&state, plan] {
         return run_at(state, plan.idle_close_at, [&state] { prune_caller_connections(state, true); });
     });
-    spawn_service(state, executor, "end_intake", [&state, plan, listener = running.listener] {
+    spawn_permanent_task(state, executor, "end_intake", [&state, plan, listener = running.listener] {
         return run_at(state, plan.intake_end, [listener, &state] {
             close_listener(listener);
             end_intake(state);
         });
     });
-    spawn_service(state, executor, "stop_when_drained",
-                  [&state, plan] { return stop_when_drained(state, plan); });
+    spawn_permanent_task(state, executor, "stop_when_drained",
+                         [&state, plan] { return stop_when_drained(state, plan); });
     for (auto& it : running.workers) {
         it.join();
     }
--- a/source/core/gateway/task.cpp
+++ b/source/core/gateway/task.cpp
@@ -96,8 +96,8 @@
     });
 }
 
-void spawn_service(gateway_state& state, const net::any_io_executor& executor, std::string_view name,
-                   const std::function<awaitable<void>()>& begin) {
+void spawn_permanent_task(gateway_state& state, const net::any_io_executor& executor, std::string_view name,
+                          const std::function<awaitable<void>()>& begin) {
     spawn_again(state, executor, name, begin, begin());
 }
 
--- a/source/core/gateway/task.h
+++ b/source/core/gateway/task.h
@@ -15,8 +15,8 @@
                 awaitable<void> work, std::function<void()> on_failure = {});
 
 /// Runs the work that `begin` returns, and begins it anew after a pause each time it fails.
-void spawn_service(gateway_state& state, const net::any_io_executor& executor, std::string_view name,
-                   const std::function<awaitable<void>()>& begin);
+void spawn_permanent_task(gateway_state& state, const net::any_io_executor& executor, std::string_view name,
+                          const std::function<awaitable<void>()>& begin);
 
 /// Runs handlers until the I/O context stops or has none left. An exception that leaves a handler is logged
 /// and counted.
--- a/source/unit_tests/gateway/task_test.cpp
+++ b/source/unit_tests/gateway/task_test.cpp
@@ -69,12 +69,12 @@
 }
 
 // Guards against a host that no longer follows the store, or accepts callers, after one exception.
-TEST_CASE("a service that fails begins anew") {
+TEST_CASE("a permanent task that fails begins anew") {
     const test_host host;
     auto& state = *host.running->state;
     const net::any_io_executor executor = net::make_strand(state.io);
     std::atomic<int> begun{0};
-    spawn_service(state, executor, "service", [&] {
+    spawn_permanent_task(state, executor, "permanent", [&] {
         ++begun;
         switch (begun) {
         case 1:
