A test of planned stops waits for the answer that it needs

"a planned stop refuses a request behind an answer that was begun before it..." failed once, in the thread sanitizer's build beside another run of all tests. Its log shows why: the stop began 300 ms after the request, and the endpoint's answer was passed on 80 ms later, so that it announced the close, as it should. The test now waits for the first byte of the answer in place of 300 ms; its checks are the same.

--- a/source/unit_tests/gateway/planned_stop_test.cpp
+++ b/source/unit_tests/gateway/planned_stop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -70,6 +71,12 @@
         return input;
     }
 
+    /// Whether input arrives within ten seconds; it is left unread.
+    [[nodiscard]] bool has_input() const {
+        pollfd one{fd_, POLLIN, 0};
+        return poll(&one, 1, 10'000) > 0 && (one.revents & POLLIN) != 0;
+    }
+
     /// Whether the host resets the connection within a second: it has not read what was sent last.
     [[nodiscard]] bool is_reset() const {
         for (int n = 0; n < 100; ++n) {
@@ -161,7 +168,7 @@
         std::this_thread::sleep_for(milliseconds(1));
     }
     // The answer is being written.
-    std::this_thread::sleep_for(milliseconds(300));
+    REQUIRE(caller.has_input());
     std::thread stop([&] { stop_gateway(*running); });
     // The intake ends 2100 ms after the stop has begun.
     std::this_thread::sleep_for(milliseconds(2400));
