Relays are hosts with room for the work

Cause: relays were drawn by log(u) / processor share. Where small hosts are many, a few of these draws win, and the link was not in a host's entry at all.

The fix: entries carry the link ([machine] link). A host's room is the smaller of its processor and link, as multiples of the fleet's medians; those with less than half of the third best host's room are no candidates. Among the others the draw is as before, in different failure domains where possible, since fewer candidates are more often neighbours. A fleet of equal hosts keeps all of them as candidates. Entries without a link, of an earlier version, count by their processor.

--- a/source/core/traffic/directory.h
+++ b/source/core/traffic/directory.h
@@ -21,6 +21,8 @@
     std::string peer_address;
     /// Relative weight, derived from its processor share.
     double capacity{1};
+    /// Bandwidth of its network link, Mbit/s; 0 if unknown.
+    double link{0};
     /// Start time of the process, Unix ms.
     std::int64_t started_unix_ms{0};
     /// Lease in the store that the entry is bound to.
@@ -40,8 +42,8 @@
 double expected_caller_share(const fleet_members& members, std::string_view host);
 
 /// Names of the relays: the hosts that watch the store directly and pass its changes on to the others. Chosen
-/// by weighted rendezvous hashing, which prefers hosts with a higher capacity; hosts with the same members
-/// choose the same relays.
+/// by weighted rendezvous hashing among the hosts with room for it, by processor and link, and in different
+/// failure domains where possible; hosts with the same members choose the same relays.
 std::vector<std::string> relay_hosts(const fleet_members& members);
 
 } // namespace lycheegap::traffic
