An answer of another host is read as long as its bytes arrive

Cause: a call between hosts ended at its deadline, wait plus 500 ms, whatever had arrived. A call to the store in contrast goes on while bytes come.

Test: "a call goes on past its deadline while its answer arrives, not without bytes nor for ever" fails without the extension (first check).

--- a/source/core/gateway/fleet_link.cpp
+++ b/source/core/gateway/fleet_link.cpp
@@ -93,18 +93,21 @@
 }
 
 awaitable<std::optional<schema::bytes>> call_host(fleet_link& link, std::string address,
-                                                  schema::bytes message, common::time_point deadline) {
+                                                  schema::bytes message, common::time_point deadline,
+                                                  common::time_point last_deadline) {
     const auto executor = co_await net::this_coro::executor;
     const auto pending = std::make_shared<pending_reply>(executor);
-    pending->timer.expires_at(deadline);
-    link.peers->call(std::move(address), std::move(message), deadline, [pending, executor](auto answer) {
+    const auto wait_end = std::max(deadline, last_deadline);
+    pending->timer.expires_at(wait_end);
+    const auto reply = [pending, executor](auto answer) {
         net::post(executor, [pending, answer = std::move(answer)]() mutable {
             pending->done = true;
             pending->answer = std::move(answer);
             pending->timer.cancel();
         });
-    });
-    while (!pending->done && common::monotonic::now() < deadline) {
+    };
+    link.peers->call(std::move(address), std::move(message), deadline, reply, last_deadline);
+    while (!pending->done && common::monotonic::now() < wait_end) {
         error_code ec;
         co_await pending->timer.async_wait(keep_error(ec));
     }
--- a/source/core/gateway/fleet_link.h
+++ b/source/core/gateway/fleet_link.h
@@ -25,7 +25,10 @@
                                             const std::string& secret);
 
 /// Sends a message to the host at `address` and waits for its reply; empty when none arrives by the deadline.
+/// While bytes of the reply arrive, the deadline moves on up to `last_deadline`; the default sets a fixed
+/// deadline.
 awaitable<std::optional<schema::bytes>> call_host(fleet_link& link, std::string address,
-                                                  schema::bytes message, common::time_point deadline);
+                                                  schema::bytes message, common::time_point deadline,
+                                                  common::time_point last_deadline = {});
 
 } // namespace lycheegap::gateway
--- a/source/core/transport/peer_link.cpp
+++ b/source/core/transport/peer_link.cpp
@@ -376,11 +376,12 @@
 }
 
 void peer_link::call(std::string address, schema::bytes message, common::time_point deadline,
-                     peer_reply reply) {
+                     peer_reply reply, common::time_point last_deadline) {
     pending_call call;
     call.address = std::move(address);
     call.stream.outgoing = std::move(message);
     call.stream.deadline = deadline;
+    call.stream.last_deadline = last_deadline;
     call.stream.started_at = common::monotonic::now();
     call.stream.reply = std::move(reply);
     if (!try_queue_call(*state_, call)) {
--- a/source/core/transport/peer_session.cpp
+++ b/source/core/transport/peer_session.cpp
@@ -1,5 +1,6 @@
 #include "peer_session.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -21,6 +22,8 @@
 constexpr std::size_t max_message_bytes = 4U << 20U;
 // Of all messages of a session that have not arrived in full.
 constexpr std::size_t max_partial_bytes = 16U << 20U;
+// Longest pause between bytes of an answer: a round trip between regions and one lost packet.
+constexpr common::milliseconds max_answer_stall{500};
 constexpr std::size_t read_buffer_bytes = 64U << 10U;
 constexpr std::uint32_t max_concurrent_streams = 1024;
 constexpr std::int32_t flow_control_window_bytes = 8 << 20;
@@ -96,6 +99,12 @@
     }
     const auto* first = reinterpret_cast<const std::byte*>(data);
     received.insert(received.end(), first, first + size);
+    if (!session.is_server) {
+        // To ask anew would have the other side send the same bytes again, over a link that is full already.
+        const auto stall_end = common::monotonic::now() + max_answer_stall;
+        it->second.deadline =
+            std::max(it->second.deadline, std::min(stall_end, it->second.last_deadline));
+    }
     return 0;
 }
 
--- a/source/core/transport/peer_session.h
+++ b/source/core/transport/peer_session.h
@@ -32,9 +32,12 @@
     bool authorized{false};
     /// Server side: the request has been received completely.
     bool complete{false};
-    /// Client side only, as are the two times below.
+    /// Client side only, as are the three times below.
     peer_reply reply;
+    /// For the answer; moves on while its bytes arrive.
     common::time_point deadline;
+    /// `deadline` does not move beyond this time.
+    common::time_point last_deadline;
     /// Time at which `peer_link::call` was called.
     common::time_point started_at;
 };
--- a/source/unit_tests/transport/endless_answer_test.cpp
+++ b/source/unit_tests/transport/endless_answer_test.cpp
@@ -63,8 +63,46 @@
     return answered;
 }
 
+/// Whether a call is still open after its deadline when `bytes` of its answer have arrived in time, and, if
+/// `stalled`, none since.
+bool is_open_after_deadline(std::size_t bytes, milliseconds extension, bool stalled) {
+    std::array<int, 2> fds{};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds.data()) == 0);
+    const auto client = make_session(1, fds[0], false, "host-2", "s");
+    const auto server = make_session(2, fds[1], true, "host-1", "s");
+    bool open = true;
+    peer_stream stream;
+    stream.reply = [&](const std::optional<schema::bytes>&) { open = false; };
+    stream.deadline = common::monotonic::now() + milliseconds(100);
+    stream.last_deadline = stream.deadline + extension;
+    const auto deadline = stream.deadline;
+    begin_call(*client, std::move(stream));
+    pump(*client, *server);
+    REQUIRE(server->requests.size() == 1);
+    begin_answer(*server, server->requests[0].stream, schema::bytes(4U << 20U));
+    // As much as the sockets hold.
+    for (std::size_t received = 0; received < bytes; received += 64U << 10U) {
+        write_session(*server);
+        read_session(*client);
+    }
+    expire_calls(*client, deadline + milliseconds(stalled ? 5000 : 1));
+    const bool result = open;
+    close_session(*client, "test");
+    close_session(*server, "test");
+    return result;
+}
+
 } // namespace
 
+// Guards against answers that are given up while they arrive: the asking host had the next relay send the same
+// bytes again, and both relays' links stayed full.
+TEST_CASE("a call goes on past its deadline while its answer arrives, not without bytes nor for ever") {
+    CHECK(is_open_after_deadline(64U << 10U, milliseconds(10'000), false));
+    CHECK_FALSE(is_open_after_deadline(64U << 10U, milliseconds(10'000), true));
+    CHECK_FALSE(is_open_after_deadline(0, milliseconds(10'000), false));
+    CHECK_FALSE(is_open_after_deadline(64U << 10U, milliseconds(0), false));
+}
+
 TEST_CASE("an answer without end to a request or status check ends before it fills the memory") {
     for (const auto& it : gateway::endless_replies()) {
         CAPTURE(it.bytes);
