--- a/source/unit_tests/platform/store_calls_test.cpp
+++ b/source/unit_tests/platform/store_calls_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,6 +39,9 @@
     }
 
     void serve(int pieces, milliseconds pause) const {
+        // The listener does not block.
+        pollfd waiting{listener.fd, POLLIN, 0};
+        poll(&waiting, 1, -1);
         const int fd = accept(listener.fd, nullptr, nullptr);
         std::string buf(4096, '\0');
         recv(fd, buf.data(), buf.size(), 0);
