--- a/source/core/gateway/mirror_answer.cpp
+++ b/source/core/gateway/mirror_answer.cpp
@@ -15,6 +15,9 @@
 
 // Values of the store are smaller.
 constexpr std::size_t max_value_bytes = 16U << 20U;
+constexpr std::size_t max_list_bytes = 64U << 20U;
+// Shorter lists of items are sent as they are.
+constexpr std::size_t min_packed_bytes = 4096;
 
 /// Time since `then` in ms, as far as the message's field can hold it.
 template <typename Clock>
@@ -33,6 +36,45 @@
     return made;
 }
 
+/// Whether the items are worth compressing as a whole, as in a snapshot.
+bool is_large_list(const std::vector<std::unique_ptr<schema::mirror_item_record_t>>& items) {
+    std::size_t bytes = 0;
+    for (const auto& it : items) {
+        bytes += it->key.size() + it->value.size();
+    }
+    return bytes >= min_packed_bytes;
+}
+
+/// Replaces the items by their compressed list.
+void pack_items(schema::mirror_answer_t& answer) {
+    schema::mirror_item_list_t list;
+    list.items = std::move(answer.items);
+    const auto encoded = schema::encode<schema::mirror_item_list>(list);
+    const auto packed =
+        common::compress({reinterpret_cast<const char*>(encoded.data()), encoded.size()}, {});
+    answer.items = std::move(list.items);
+    if (packed) {
+        answer.packed_items.assign(packed->begin(), packed->end());
+        answer.items.clear();
+    }
+}
+
+/// Restores the items of a list that `pack_items` made. False when it can't be read.
+bool unpack_items(schema::mirror_answer_t& answer, std::string_view peer) {
+    const auto* first = reinterpret_cast<const char*>(answer.packed_items.data());
+    const auto expanded = common::expand({first, answer.packed_items.size()}, {}, max_list_bytes);
+    if (!expanded) {
+        return false;
+    }
+    auto list = schema::decode<schema::mirror_item_list>(
+        {reinterpret_cast<const std::byte*>(expanded->data()), expanded->size()}, peer);
+    if (!list) {
+        return false;
+    }
+    answer.items = std::move(list->items);
+    return true;
+}
+
 /// Restores the value of a record. Empty when its base is not at hand or the bytes are damaged.
 std::optional<std::string> value_of(const schema::mirror_item_record_t& from, std::string_view peer,
                                     const version_lookup& lookup) {
@@ -81,6 +123,7 @@
 answer_plan plan_answer(const state_mirror& mirror, const mirror_query& query) {
     answer_plan plan;
     plan.update = begin_changes(mirror, query.after);
+    plan.accepts_compressed = query.accepts_compressed;
     for (const auto& [key, it] : mirror.items) {
         if (!is_included(plan.update, it, query.after)) {
             continue;
@@ -131,6 +174,9 @@
         record.compressed = it.compressed != nullptr;
         record.base_revision = it.compressed ? it.base.revision : 0;
     }
+    if (plan.accepts_compressed && is_large_list(answer.items)) {
+        pack_items(answer);
+    }
     answer.age = age_field(plan.update.confirmed_at);
     if (plan.update.store_recovered_at) {
         answer.back_age = age_field(*plan.update.store_recovered_at);
@@ -141,11 +187,14 @@
 std::optional<mirror_update> decode_mirror_answer(schema::byte_view message,
                                                   common::boot_clock::time_point asked_at,
                                                   std::string_view peer, const version_lookup& lookup) {
-    const auto read = schema::decode<schema::peer_message>(message, peer);
-    const auto* answer = read ? read->body.Asmirror_answer() : nullptr;
+    auto read = schema::decode<schema::peer_message>(message, peer);
+    auto* answer = read ? read->body.Asmirror_answer() : nullptr;
     if (answer == nullptr) {
         return common::fail(common::step::decode, peer, "not a mirror answer");
     }
+    if (!answer->packed_items.empty() && !unpack_items(*answer, peer)) {
+        return std::nullopt;
+    }
     mirror_update update;
     update.revision = answer->revision;
     update.is_snapshot = answer->whole;
--- a/source/core/gateway/mirror_answer.h
+++ b/source/core/gateway/mirror_answer.h
@@ -26,6 +26,8 @@
 /// Contents of an answer before they are encoded.
 struct answer_plan {
     mirror_update update;
+    /// The asking host reads compressed values and item lists.
+    bool accepts_compressed{false};
     std::vector<large_value> large_values;
 };
 
--- a/source/unit_tests/gateway/mirror_answer_test.cpp
+++ b/source/unit_tests/gateway/mirror_answer_test.cpp
@@ -149,6 +149,41 @@
     CHECK(table.mirror.history.compressed.size() == 1);
 }
 
+// Guards against whole copies of the store on the links of relays that have just started: every other host
+// gets one from them.
+TEST_CASE("a snapshot of many small items takes a small part of their bytes") {
+    state_mirror mirror;
+    mirror_update all;
+    all.revision = 900;
+    all.is_snapshot = true;
+    all.confirmed_at = common::boot_clock::now();
+    std::size_t bytes = 0;
+    for (std::uint64_t n = 0; n < 900; ++n) {
+        const auto id = std::to_string(n * 7919);
+        all.items.push_back({"endpoints/" + id,
+                             R"({"address":"10.0.0.)" + id + R"(:80","info":{"service":"desk","zone":"north",)" +
+                                 R"("version":"v1","capacity":6},"status":{"state":"ready","sequence":)" + id +
+                                 R"(,"cold_remaining_s":0},"born":17330000)" + id + "}",
+                             n + 1, 0, false});
+        bytes += all.items.back().value.size();
+    }
+    const auto items = all.items;
+    merge_update(mirror, std::move(all));
+    const auto message = answer_of(mirror, {.after = 0, .accepts_compressed = true, .held = {}});
+    CHECK(message.size() < bytes / 4);
+    const auto update = decode(message, {});
+    REQUIRE(update);
+    CHECK(update->is_snapshot);
+    REQUIRE(update->items.size() == items.size());
+    for (const auto& it : update->items) {
+        CHECK(it.value == mirror.items[it.key].value);
+        CHECK(it.revision == mirror.items[it.key].revision);
+    }
+    auto damaged = message;
+    damaged[damaged.size() / 2] ^= std::byte{0x55};
+    CHECK_FALSE(decode(damaged, {}));
+}
+
 TEST_CASE("damaged and oversized compressed values are refused") {
     const auto text = large_text(1);
     auto compressed = *common::compress(text, {});
