--- a/source/core/gateway/mirror_answer.cpp
+++ b/source/core/gateway/mirror_answer.cpp
@@ -50,8 +50,7 @@
     schema::mirror_item_list_t list;
     list.items = std::move(answer.items);
     const auto encoded = schema::encode<schema::mirror_item_list>(list);
-    const auto packed =
-        common::compress({reinterpret_cast<const char*>(encoded.data()), encoded.size()}, {});
+    const auto packed = common::compress({reinterpret_cast<const char*>(encoded.data()), encoded.size()}, {});
     answer.items = std::move(list.items);
     if (packed) {
         answer.packed_items.assign(packed->begin(), packed->end());
--- a/source/core/transport/peer_link.h
+++ b/source/core/transport/peer_link.h
@@ -42,8 +42,8 @@
     /// Bound port.
     [[nodiscard]] int port() const;
     /// Sends `message` to the host at `address` ("ip:port") without blocking. `reply` is called exactly once,
-    /// with the answer or, on an error or at the deadline, with nothing. While bytes of the answer arrive, the
-    /// deadline moves on up to `last_deadline`; the default sets a fixed deadline.
+    /// with the answer or, on an error or at the deadline, with nothing. While bytes of the answer arrive,
+    /// the deadline moves on up to `last_deadline`; the default sets a fixed deadline.
     void call(std::string address, schema::bytes message, common::time_point deadline, peer_reply reply,
               common::time_point last_deadline = {});
     /// As `call`, but blocks until the call ends. Must not be called on the peer thread, where it would
--- a/source/core/transport/peer_session.cpp
+++ b/source/core/transport/peer_session.cpp
@@ -102,8 +102,7 @@
     if (!session.is_server) {
         // To ask anew would have the other side send the same bytes again, over a link that is full already.
         const auto stall_end = common::monotonic::now() + max_answer_stall;
-        it->second.deadline =
-            std::max(it->second.deadline, std::min(stall_end, it->second.last_deadline));
+        it->second.deadline = std::max(it->second.deadline, std::min(stall_end, it->second.last_deadline));
     }
     return 0;
 }
--- a/source/soak/main.cpp
+++ b/source/soak/main.cpp
@@ -70,6 +70,9 @@
                             "endpoints, 2 or more");
     described.add_options()("callers", options::value(&run_options.size.callers)->default_value(12),
                             "callers");
+    described.add_options()("unused-routes",
+                            options::value(&run_options.size.unused_routes)->default_value(1400),
+                            "routes of the configuration that nobody calls");
     try {
         options::variables_map given;
         options::store(options::parse_command_line(argc, argv, described), given);
--- a/source/soak/soak_checks.cpp
+++ b/source/soak/soak_checks.cpp
@@ -1,6 +1,7 @@
 #include "soak_checks.h"
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 
 #include <fmt/format.h>
@@ -14,6 +15,8 @@
 using runs_by_id = std::map<std::string_view, std::vector<const run_record*>>;
 
 constexpr int status_ok = 200;
+// What a relay with a link of 10 Mbit/s can send each host of a third of 870 within the 11 s for a change.
+constexpr std::uint64_t max_bytes_per_version = 10'000'000 / 8 * 11 / (870 / 3);
 
 /// Value of " key=value" in a log line; empty without it.
 std::string_view value_of(std::string_view line, std::string_view key) {
@@ -112,4 +115,26 @@
              fmt::format("team={} runs={} max={}", bound.team, max_in_window, bound.max_runs)}};
 }
 
+std::uint64_t read_counter(std::string_view text, std::string_view name) {
+    const auto marker = fmt::format("lycheegap_{} ", name);
+    for (auto at = text.find(marker); at != std::string_view::npos; at = text.find(marker, at + 1)) {
+        if (at == 0 || text[at - 1] == '\n') {
+            std::uint64_t value = 0;
+            std::from_chars(text.data() + at + marker.size(), text.data() + text.size(), value);
+            return value;
+        }
+    }
+    return 0;
+}
+
+std::vector<finding> check_replicated_bytes(std::uint64_t bytes, std::uint64_t hosts,
+                                            std::uint64_t versions) {
+    const auto allowed = max_bytes_per_version * hosts * versions;
+    if (bytes <= allowed) {
+        return {};
+    }
+    return {{"hosts send each other what changed in the configuration",
+             fmt::format("bytes={} allowed={}", bytes, allowed)}};
+}
+
 } // namespace lycheegap::soak
--- a/source/soak/soak_checks.h
+++ b/source/soak/soak_checks.h
@@ -54,6 +54,11 @@
 /// if they were refused as not run; a 200 response belongs to its request and to a run; valid requests get no
 /// 401 or 404; endpoints see the right team and no API key.
 std::vector<finding> check_calls(std::span<const call_record> calls, std::span<const run_record> runs);
+/// Value of a counter in the Prometheus text format; 0 if the text does not have it.
+std::uint64_t read_counter(std::string_view text, std::string_view name);
+/// Checks that the hosts sent each other no more bytes of the store than versions of a large configuration
+/// call for.
+std::vector<finding> check_replicated_bytes(std::uint64_t bytes, std::uint64_t hosts, std::uint64_t versions);
 /// Checks that no window of time holds more runs of the team than the bound allows.
 std::vector<finding> check_rate(std::span<const run_record> runs, const rate_bound& bound);
 
--- a/source/soak/soak_faults.cpp
+++ b/source/soak/soak_faults.cpp
@@ -36,6 +36,7 @@
     fault_name{fault_kind::store_slow, "store_slow"},
     fault_name{fault_kind::store_drops_history, "store_drops_history"},
     fault_name{fault_kind::change_configuration, "change_configuration"},
+    fault_name{fault_kind::change_configuration_often, "change_configuration_often"},
 };
 
 // Time between the begins of successive faults, and the length of a fault.
@@ -43,6 +44,7 @@
 constexpr int max_gap_ms = 2500;
 constexpr int min_length_ms = 100;
 constexpr int max_length_ms = 5000;
+constexpr milliseconds version_gap{330};
 
 bool targets_host(fault_kind kind) {
     return kind == fault_kind::kill_host || kind == fault_kind::stop_host || kind == fault_kind::pause_host ||
@@ -173,6 +175,13 @@
     }
 }
 
+/// Appends the versions that follow each other during the fault.
+void append_versions(std::vector<planned_fault>& plan, const planned_fault& fault) {
+    for (auto at = fault.at; at < fault.at + fault.length; at += version_gap) {
+        plan.push_back({fault_kind::change_configuration, fault.target, at, version_gap});
+    }
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind) {
@@ -189,6 +198,8 @@
     while (true) {
         at += milliseconds{draw(min_gap_ms, max_gap_ms)};
         if (at >= size.fault_phase_length) {
+            std::stable_sort(plan.begin(), plan.end(),
+                             [](const auto& a, const auto& b) { return a.at < b.at; });
             return plan;
         }
         planned_fault fault;
@@ -198,7 +209,11 @@
         fault.target = static_cast<std::size_t>(draw(0, static_cast<int>(targets) - 1));
         fault.at = at;
         fault.length = milliseconds{draw(min_length_ms, max_length_ms)};
-        plan.push_back(fault);
+        if (fault.kind == fault_kind::change_configuration_often) {
+            append_versions(plan, fault);
+        } else {
+            plan.push_back(fault);
+        }
     }
 }
 
--- a/source/soak/soak_fleet.cpp
+++ b/source/soak/soak_fleet.cpp
@@ -9,6 +9,7 @@
 
 #include "core/common/digest.h"
 #include "failure_tests/fleet.h"
+#include "soak_checks.h"
 
 namespace lycheegap::soak {
 
@@ -131,19 +132,30 @@
               {"burst", n == 0 ? limited_burst_requests : 0}}}};
 }
 
-std::string configuration_text(int version, bool include_withdrawn_key) {
+/// A route that nobody calls; `version` of the configuration decides which of them has another time-out.
+json unused_route(std::size_t n, int version) {
+    auto made =
+        route_resource(fmt::format("/unused/{:016x}/", common::stable_hash(std::to_string(n))), "safe");
+    made["spec"]["timeout_s"] = n == static_cast<std::size_t>(version) ? 4.0 : 3.0;
+    return made;
+}
+
+std::string configuration_text(int version, bool include_withdrawn_key, std::size_t unused_routes) {
     json resources = json::array({route_resource("/read/", "safe"), route_resource("/book/", "unsafe")});
     for (std::size_t n = 0; n < team_count; ++n) {
         resources.push_back(team_resource(n, include_withdrawn_key));
     }
+    for (std::size_t n = 0; n < unused_routes; ++n) {
+        resources.push_back(unused_route(n, version));
+    }
     const json configuration = {{"version", version}, {"resources", resources}};
     return configuration.dump();
 }
 
-/// Sends one request, with an API key if `key` is not empty; returns the status, or 0 without a response.
-int send_request(soak_fleet& fleet, const std::string& address, const std::string& method,
-                 const std::string& path, const std::string& query, const std::string& body,
-                 std::string_view key) {
+/// Sends one request, with an API key if `key` is not empty.
+transport::http_result send_request(soak_fleet& fleet, const std::string& address, const std::string& method,
+                                    const std::string& path, const std::string& query,
+                                    const std::string& body, std::string_view key) {
     transport::http_call call;
     call.address = address;
     call.head.method = method;
@@ -156,7 +168,11 @@
     }
     call.body = transport::as_bytes(body);
     call.deadline = monotonic::now() + call_timeout;
-    const auto result = transport::call_http(fleet.connections, call);
+    return transport::call_http(fleet.connections, call);
+}
+
+/// Status of the response, or 0 without one.
+int status_of(const transport::http_result& result) {
     return result.response ? result.response->status : 0;
 }
 
@@ -204,6 +220,7 @@
     auto fleet = std::make_unique<soak_fleet>();
     fleet->network = failure_tests::pick_address_prefix();
     fleet->folder = failure_tests::make_temporary_folder();
+    fleet->unused_routes = size.unused_routes;
     define_hosts(*fleet, size.hosts);
     define_endpoints(*fleet, size.endpoints);
     if (fleet->folder.empty() || !start_store(*fleet) || !start_links(*fleet)) {
@@ -225,9 +242,10 @@
 }
 
 bool write_configuration(soak_fleet& fleet, bool include_withdrawn_key) {
-    const auto text = configuration_text(fleet.configuration_version + 1, include_withdrawn_key);
-    const bool accepted =
-        send_request(fleet, fleet.store_address, "POST", "/operator", "key=op/config", text, "") == 200;
+    const auto text =
+        configuration_text(fleet.configuration_version + 1, include_withdrawn_key, fleet.unused_routes);
+    const bool accepted = status_of(send_request(fleet, fleet.store_address, "POST", "/operator",
+                                                 "key=op/config", text, "")) == 200;
     fleet.configuration_version += accepted ? 1 : 0;
     return accepted;
 }
@@ -237,7 +255,13 @@
 }
 
 bool serves(soak_fleet& fleet, const soak_host& host, std::string_view key) {
-    return send_request(fleet, host.request_address, "GET", "/read/probe", "", "", key) == 200;
+    return status_of(send_request(fleet, host.request_address, "GET", "/read/probe", "", "", key)) == 200;
+}
+
+std::uint64_t replicated_bytes(soak_fleet& fleet, const soak_host& host) {
+    const auto result =
+        send_request(fleet, fmt::format("{}:{}", host.ip, operator_port), "GET", "/metrics", "", "", "");
+    return result.response ? read_counter(result.response->body, "mirror_answer_bytes") : 0;
 }
 
 } // namespace lycheegap::soak
--- a/source/soak/soak_fleet.h
+++ b/source/soak/soak_fleet.h
@@ -58,6 +58,7 @@
     transport::connection_pool connections;
     /// Version of the configuration written last; 0 before the first.
     int configuration_version{0};
+    std::size_t unused_routes{0};
 };
 
 /// Name and API key of team `n`, from 0.
@@ -81,6 +82,9 @@
 bool write_configuration(soak_fleet& fleet, bool include_withdrawn_key);
 /// Sends a query to the /control path of a stand-in.
 void send_control(soak_fleet& fleet, const std::string& address, const std::string& query);
+/// Bytes of the answers about the store that a host has sent to the others since its start; 0 if it does not
+/// say.
+std::uint64_t replicated_bytes(soak_fleet& fleet, const soak_host& host);
 /// Whether a host answers a request with this API key with status 200.
 bool serves(soak_fleet& fleet, const soak_host& host, std::string_view key);
 
--- a/source/soak/soak_plan.h
+++ b/source/soak/soak_plan.h
@@ -14,6 +14,8 @@
     std::size_t hosts{6};
     std::size_t endpoints{5};
     std::size_t callers{12};
+    /// Routes of the configuration that nobody calls; each version changes one of them.
+    std::size_t unused_routes{1400};
     /// Time with faults; a phase without faults follows.
     common::milliseconds fault_phase_length{20'000};
 };
@@ -46,8 +48,10 @@
     store_slow,
     /// The store drops its change history, so that watches have to read anew.
     store_drops_history,
-    /// Writes a new version of the configuration with the same content.
+    /// Writes a new version of the configuration.
     change_configuration,
+    /// Writes versions of the configuration one after the other. Planned as faults of the kind above.
+    change_configuration_often,
     /// Number of the kinds above.
     count,
 };
--- a/source/soak/soak_run.cpp
+++ b/source/soak/soak_run.cpp
@@ -127,6 +127,15 @@
     std::move(more.begin(), more.end(), std::back_inserter(to));
 }
 
+std::vector<finding> check_replication(soak_fleet& fleet) {
+    std::uint64_t bytes = 0;
+    for (const auto& it : fleet.hosts) {
+        bytes += replicated_bytes(fleet, it);
+    }
+    return check_replicated_bytes(bytes, fleet.hosts.size(),
+                                  static_cast<std::uint64_t>(fleet.configuration_version));
+}
+
 /// Checks the guarantees that hold without faults: recovery, key withdrawal and draining.
 void check_after_faults(soak_fleet& fleet, soak_callers& callers, std::vector<finding>& findings) {
     const bool all_serve = failure_tests::wait_until(recovery_limit, [&] {
@@ -161,6 +170,7 @@
     const auto calls = callers.stop();
     const auto runs = all_runs(*fleet);
     append(result.findings, check_calls(calls, runs));
+    append(result.findings, check_replication(*fleet));
     const double max_runs =
         (limited_rate_per_s * 5 + limited_burst_requests) * rate_tolerance_factor + rate_tolerance_requests;
     append(result.findings, check_rate(runs, {team_name(0), rate_window_ms, max_runs}));
--- a/source/unit_tests/platform/store_calls_test.cpp
+++ b/source/unit_tests/platform/store_calls_test.cpp
@@ -71,8 +71,8 @@
 
 } // namespace
 
-// Guards against a copy of the store that counts as current though it took seconds to arrive: a host with a full
-// link asked no other host and passed its old copy on as new.
+// Guards against a copy of the store that counts as current though it took seconds to arrive: a host with a
+// full link asked no other host and passed its old copy on as new.
 TEST_CASE("the age of a response counts from its head, not from the end of its body") {
     const auto result = read_slowly(8, milliseconds(200));
     REQUIRE(result.status == store_status::ok);
--- a/source/unit_tests/soak/soak_checks_test.cpp
+++ b/source/unit_tests/soak/soak_checks_test.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_checks.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "soak/soak_plan.h"
@@ -93,4 +95,23 @@
     CHECK(overlaps);
 }
 
+TEST_CASE("versions of the configuration that follow each other are planned one by one") {
+    soak_size size;
+    size.fault_phase_length = common::milliseconds(60'000);
+    const auto plan = plan_faults(7, size);
+    CHECK(std::is_sorted(plan.begin(), plan.end(), [](const auto& a, const auto& b) { return a.at < b.at; }));
+    CHECK(std::none_of(plan.begin(), plan.end(),
+                       [](const auto& it) { return it.kind == fault_kind::change_configuration_often; }));
+}
+
+// Guards against a soak that doesn't see relays send the whole of a large configuration for each change.
+TEST_CASE("more bytes between hosts than the versions call for are found") {
+    CHECK(check_replicated_bytes(5'901'360, 3, 5).size() == 1);
+    CHECK(check_replicated_bytes(3240, 3, 5).empty());
+    const std::string text =
+        "# TYPE lycheegap_mirror_answer_bytes counter\nlycheegap_mirror_answer_bytes 17\n";
+    CHECK(read_counter(text, "mirror_answer_bytes") == 17);
+    CHECK(read_counter(text, "bytes") == 0);
+}
+
 } // namespace lycheegap::soak
--- a/source/unit_tests/transport/endless_answer_test.cpp
+++ b/source/unit_tests/transport/endless_answer_test.cpp
@@ -94,8 +94,8 @@
 
 } // namespace
 
-// Guards against answers that are given up while they arrive: the asking host had the next relay send the same
-// bytes again, and both relays' links stayed full.
+// Guards against answers that are given up while they arrive: the asking host had the next relay send the
+// same bytes again, and both relays' links stayed full.
 TEST_CASE("a call goes on past its deadline while its answer arrives, not without bytes nor for ever") {
     CHECK(is_open_after_deadline(64U << 10U, milliseconds(10'000), false));
     CHECK_FALSE(is_open_after_deadline(64U << 10U, milliseconds(10'000), true));
