--- a/source/core/traffic/directory.cpp
+++ b/source/core/traffic/directory.cpp
@@ -82,6 +82,7 @@
         return;
     }
     std::vector<double> rooms;
+    rooms.reserve(candidates.size());
     for (const auto& it : candidates) {
         rooms.push_back(it.room);
     }
