--- a/source/unit_tests/gateway/mirror_answer_test.cpp
+++ b/source/unit_tests/gateway/mirror_answer_test.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/mirror_answer.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "core/common/compression.h"
 
@@ -171,12 +172,11 @@
     std::size_t bytes = 0;
     for (std::uint64_t n = 0; n < 900; ++n) {
         const auto id = std::to_string(n * 7919);
-        all.items.push_back({"endpoints/" + id,
-                             R"({"address":"10.0.0.)" + id +
-                                 R"(:80","info":{"service":"desk","zone":"north",)" +
-                                 R"("version":"v1","capacity":6},"status":{"state":"ready","sequence":)" +
-                                 id + R"(,"cold_remaining_s":0},"born":17330000)" + id + "}",
-                             n + 1, 0, false});
+        auto value = fmt::format(R"({{"address":"10.0.0.{0}:80","info":{{"service":"desk","zone":"north",)"
+                                 R"("version":"v1","capacity":6}},"status":{{"state":"ready","sequence":{0},)"
+                                 R"("cold_remaining_s":0}},"born":17330000{0}}})",
+                                 id);
+        all.items.push_back({"endpoints/" + id, std::move(value), n + 1, 0, false});
         bytes += all.items.back().value.size();
     }
     const auto items = all.items;
--- a/source/unit_tests/platform/follow_store_test.cpp
+++ b/source/unit_tests/platform/follow_store_test.cpp
@@ -55,17 +55,22 @@
         version, routes);
 }
 
-/// Bytes of all answers that the hosts sent to each other about the store.
-std::uint64_t bytes_between_hosts(const in_process_fleet& fleet) {
+/// Sum of a counter over all hosts.
+std::uint64_t count_of(const in_process_fleet& fleet, std::string_view counter) {
     std::uint64_t all = 0;
     for (const auto& host : fleet.hosts) {
         for (const auto& it : common::read_metrics(host->state().metrics)) {
-            all += it.name == "mirror_answer_bytes" ? it.count : 0;
+            all += it.name == counter ? it.count : 0;
         }
     }
     return all;
 }
 
+/// Bytes of all answers that the hosts sent to each other about the store.
+std::uint64_t bytes_between_hosts(const in_process_fleet& fleet) {
+    return count_of(fleet, "mirror_answer_bytes");
+}
+
 } // namespace
 
 // Guards against relays that send every host the whole of a large configuration for each change: their links
@@ -86,6 +91,20 @@
     CHECK(bytes_between_hosts(fleet) - before <= max_version_bytes * version_count * hosts_at_relays);
 }
 
+// Guards against questions without a pause to hosts that answer at once, because their own copies are too old
+// or they are asked as neighbours: thousands a second, which took the processors of small hosts.
+TEST_CASE("in an outage of the store hosts ask each other a few times a second") {
+    // Every 200 ms up to three relays and one neighbour; hosts that left, every 400 ms.
+    constexpr std::uint64_t max_questions_per_s = 5 * 4 + 3;
+    constexpr std::uint64_t seconds = 4;
+    in_process_fleet fleet(6);
+    wait_for_start(fleet);
+    stand_ins::set_faults(fleet.store, {.outage = true});
+    const auto before = count_of(fleet, "relay_questions");
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    CHECK(count_of(fleet, "relay_questions") - before <= max_questions_per_s * seconds * fleet.hosts.size());
+}
+
 TEST_CASE("a configuration change reaches all hosts of a fleet with three relays in time") {
     in_process_fleet fleet(6);
     wait_for_start(fleet);
