A limit for the bytes of compressed versions

The 16 compressed forms kept for later answers had no limit of bytes; of values that do not compress they took up to 16 MB. Now 4 MiB hold for all of them.

Test: "the history of large values stays within its limits", 6 forms of 1 MiB.

--- a/source/core/gateway/value_history.cpp
+++ b/source/core/gateway/value_history.cpp
@@ -1,6 +1,7 @@
 #include "value_history.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace lycheegap::gateway {
 
@@ -10,10 +11,11 @@
 constexpr std::size_t min_large_bytes = 4096;
 // Hosts that are further behind get the whole value.
 constexpr std::size_t max_versions = 6;
-// Of all versions of one key. The latest one is kept whatever its size.
 // Of the versions of all keys. Values beyond it are sent as they are.
 constexpr std::size_t max_history_bytes = 8U << 20U;
 constexpr std::size_t max_compressed = 16;
+// Of all compressed forms.
+constexpr std::size_t max_compressed_bytes = 4U << 20U;
 
 /// Bytes of the versions of all keys.
 std::size_t bytes_of(const value_history& history) {
@@ -26,6 +28,12 @@
     return bytes;
 }
 
+/// Bytes of all compressed forms.
+std::size_t compressed_bytes_of(const value_history& history) {
+    return std::accumulate(history.compressed.begin(), history.compressed.end(), std::size_t{0},
+                           [](std::size_t all, const auto& it) { return all + it.bytes->size(); });
+}
+
 /// Drops the version with the lowest revision of all keys.
 void drop_oldest(value_history& history) {
     const auto oldest =
@@ -83,10 +91,11 @@
 }
 
 void note_compressed(value_history& history, compressed_version made) {
-    if (history.compressed.size() == max_compressed) {
+    history.compressed.push_back(std::move(made));
+    while (history.compressed.size() > max_compressed ||
+           compressed_bytes_of(history) > max_compressed_bytes) {
         history.compressed.erase(history.compressed.begin());
     }
-    history.compressed.push_back(std::move(made));
 }
 
 std::shared_ptr<const std::string> find_compressed(const value_history& history, const version_name& name,
--- a/source/unit_tests/gateway/mirror_answer_test.cpp
+++ b/source/unit_tests/gateway/mirror_answer_test.cpp
@@ -120,6 +120,10 @@
     }
     CHECK(history.versions.at("large").size() <= 6);
     CHECK(history.compressed.size() <= 16);
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+        note_compressed(history, {{"large", n}, 0, std::make_shared<const std::string>(1U << 20U, 'c')});
+    }
+    CHECK(history.compressed.size() == 4);
     CHECK(find_version(history, "large", 50));
     CHECK_FALSE(find_version(history, "large", 1));
     note_version(history, "large", 52, "");
