--- a/source/failure_tests/soak_test.cpp
+++ b/source/failure_tests/soak_test.cpp
@@ -28,6 +28,14 @@
     expect_no_findings(20261204, size);
 }
 
+// Guards against hosts that ask each other without a pause while the store is away: this seed exceeded the
+// bound on bytes between hosts.
+TEST_CASE("hosts send each other little in an outage of the store, soak seed 1") {
+    soak::soak_size size;
+    size.fault_phase_length = common::milliseconds(5000);
+    expect_no_findings(1, size);
+}
+
 TEST_SUITE_END();
 
 } // namespace lycheegap::failure_tests
