--- a/source/soak/soak_checks.cpp
+++ b/source/soak/soak_checks.cpp
@@ -58,15 +58,15 @@
     }
 }
 
-} // namespace
-
-std::vector<run_record> parse_runs(std::string_view endpoint, std::string_view log) {
+/// Reads the log lines of an endpoint about requests that `is_counted` accepts.
+std::vector<run_record> parse_lines(std::string_view endpoint, std::string_view log,
+                                    bool (*is_counted)(std::string_view line)) {
     std::vector<run_record> runs;
     while (!log.empty()) {
         const auto end = std::min(log.find('\n'), log.size());
         const auto line = log.substr(0, end);
         log.remove_prefix(std::min(end + 1, log.size()));
-        if (line.find("event=ran ") == std::string_view::npos) {
+        if (!is_counted(line)) {
             continue;
         }
         run_record run;
@@ -80,6 +80,41 @@
     return runs;
 }
 
+bool is_run(std::string_view line) {
+    return line.find("event=ran ") != std::string_view::npos;
+}
+
+bool is_arrival(std::string_view line) {
+    return is_run(line) || line.find("event=turned_away ") != std::string_view::npos;
+}
+
+} // namespace
+
+std::vector<run_record> parse_runs(std::string_view endpoint, std::string_view log) {
+    return parse_lines(endpoint, log, &is_run);
+}
+
+std::vector<run_record> parse_arrivals(std::string_view endpoint, std::string_view log) {
+    return parse_lines(endpoint, log, &is_arrival);
+}
+
+std::size_t most_runs_in_window(std::span<const run_record> runs, std::int64_t window_ms) {
+    std::vector<std::int64_t> times_ms;
+    for (const auto& it : runs) {
+        times_ms.push_back(it.at_ms);
+    }
+    std::sort(times_ms.begin(), times_ms.end());
+    std::size_t first = 0;
+    std::size_t most = 0;
+    for (std::size_t n = 0; n < times_ms.size(); ++n) {
+        while (times_ms[n] - times_ms[first] >= window_ms) {
+            ++first;
+        }
+        most = std::max(most, n - first + 1);
+    }
+    return most;
+}
+
 std::vector<finding> check_calls(std::span<const call_record> calls, std::span<const run_record> runs) {
     runs_by_id by_id;
     for (const auto& it : runs) {
@@ -93,21 +128,10 @@
 }
 
 std::vector<finding> check_rate(std::span<const run_record> runs, const rate_bound& bound) {
-    std::vector<std::int64_t> run_times_ms;
-    for (const auto& it : runs) {
-        if (it.team == bound.team) {
-            run_times_ms.push_back(it.at_ms);
-        }
-    }
-    std::sort(run_times_ms.begin(), run_times_ms.end());
-    std::size_t first = 0;
-    std::size_t max_in_window = 0;
-    for (std::size_t n = 0; n < run_times_ms.size(); ++n) {
-        while (run_times_ms[n] - run_times_ms[first] >= bound.window_ms) {
-            ++first;
-        }
-        max_in_window = std::max(max_in_window, n - first + 1);
-    }
+    std::vector<run_record> of_team;
+    std::copy_if(runs.begin(), runs.end(), std::back_inserter(of_team),
+                 [&](const auto& it) { return it.team == bound.team; });
+    const auto max_in_window = most_runs_in_window(of_team, bound.window_ms);
     if (static_cast<double>(max_in_window) <= bound.max_runs) {
         return {};
     }
--- a/source/soak/soak_checks.h
+++ b/source/soak/soak_checks.h
@@ -49,6 +49,11 @@
 
 /// Reads the runs from the log of an endpoint.
 std::vector<run_record> parse_runs(std::string_view endpoint, std::string_view log);
+/// Reads the requests that reached the endpoint from its log: the runs, and those that it turned away.
+std::vector<run_record> parse_arrivals(std::string_view endpoint, std::string_view log);
+
+/// Largest number of runs in any window of time.
+std::size_t most_runs_in_window(std::span<const run_record> runs, std::int64_t window_ms);
 
 /// Compares the records of callers and endpoints. Requests that are not safe run at most once, and not at all
 /// if they were refused as not run; a 200 response belongs to its request and to a run; valid requests get no
--- a/source/stand_ins/platform_endpoint.cpp
+++ b/source/stand_ins/platform_endpoint.cpp
@@ -49,10 +49,18 @@
     return fmt::format("{},0,{}", endpoint.running, endpoint.registration.capacity);
 }
 
-http_response not_executed_response(const platform_endpoint& endpoint, int status) {
-    return {status,
-            {{"Lycheegap-Not-Executed", "1"}, {"Lycheegap-Server-Load", load_header(endpoint)}},
-            "not run\n"};
+/// Adds what the endpoint says about itself in all its answers.
+http_response with_state(const platform_endpoint& endpoint, http_response response) {
+    response.headers.push_back({"Lycheegap-Server-Load", load_header(endpoint)});
+    if (!endpoint.named_limit.empty()) {
+        response.headers.push_back({"Server-Limit", endpoint.named_limit});
+    }
+    return response;
+}
+
+http_response not_executed_response(const platform_endpoint& endpoint, int status, std::string_view id) {
+    common::log_info("turned_away", {field("request", id), field("unix_ms", common::unix_milliseconds())});
+    return with_state(endpoint, {status, {{"Lycheegap-Not-Executed", "1"}}, "not run\n"});
 }
 
 void log_run(const platform_endpoint& endpoint, const http_request& request, std::string_view id) {
@@ -88,11 +96,10 @@
         --endpoint.silent_answers;
         wait_unless_stopped(endpoint, guard, withheld_response_delay);
     }
-    return {time_limit < service_time ? status_expired : 200,
-            {{"Lycheegap-Request-Id", std::string(id)},
-             {"Lycheegap-Response-Seal", "seal-" + std::string(id)},
-             {"Lycheegap-Server-Load", load_header(endpoint)}},
-            answer_body(request, id)};
+    return with_state(endpoint, {time_limit < service_time ? status_expired : 200,
+                                 {{"Lycheegap-Request-Id", std::string(id)},
+                                  {"Lycheegap-Response-Seal", "seal-" + std::string(id)}},
+                                 answer_body(request, id)});
 }
 
 http_response serve_control(platform_endpoint& endpoint, std::string_view query) {
@@ -102,6 +109,9 @@
         query_parameter(query, "silent_answers"), static_cast<std::uint64_t>(endpoint.silent_answers)));
     endpoint.registration.service_ms = static_cast<int>(parse_uint_or(
         query_parameter(query, "service_ms"), static_cast<std::uint64_t>(endpoint.registration.service_ms)));
+    if (query.find("limit=") != std::string_view::npos) {
+        endpoint.named_limit = query_parameter(query, "limit");
+    }
     endpoint.changed.notify_all();
     return {200, {}, "done\n"};
 }
@@ -148,10 +158,10 @@
     const auto id = find_header(headers, "Lycheegap-Request-Id");
     const auto target = find_header(headers, "Lycheegap-Target-Instance");
     if (!target.empty() && target != endpoint.registration.id) {
-        return not_executed_response(endpoint, status_misdirected);
+        return not_executed_response(endpoint, status_misdirected, id);
     }
     if (id.empty() || endpoint.running >= endpoint.registration.capacity) {
-        return not_executed_response(endpoint, status_unavailable);
+        return not_executed_response(endpoint, status_unavailable, id);
     }
     return run_request(endpoint, guard, request, id);
 }
--- a/source/stand_ins/platform_endpoint.h
+++ b/source/stand_ins/platform_endpoint.h
@@ -38,13 +38,16 @@
     std::int64_t started_unix_ms{0};
     int running{0};
     bool draining{false};
+    /// Value of Server-Limit in all answers: requests per second that it takes from all hosts together. Sent
+    /// as it is, so that tests can send anything; empty sends no header.
+    std::string named_limit;
     /// Number of further requests that run but whose responses are withheld beyond any client timeout.
     int silent_answers{0};
     bool stopping{false};
 };
 
 /// Handles one HTTP request: runs it and logs the run with the request's id, or refuses it as not executed.
-/// /control?draining=&silent_answers=&service_ms= is for tests.
+/// /control?draining=&silent_answers=&service_ms=&limit= is for tests.
 transport::http_response serve_platform_endpoint(platform_endpoint& endpoint,
                                                  const transport::http_request& request);
 
