Hosts keep the limits that endpoints name, together

Callers: an endpoint in need that named a limit of 2.5 requests a second got 36 to 46 in 4 s (20 allowed), as many as before it asked.

Cause: no host read the limit. Nor would a limit that each host keeps alone have held: 25 hosts sent 0.5 requests a second each.

Now the head of each answer sets or ends the endpoint's limit. One host for each request a second, and two, share it by rendezvous hashing, each with a token bucket that starts empty; a host whose view of the fleet may be out of date has no share, as for cold endpoints (traffic/fleet_share is common to both). Retries and second attempts count too, as they are placed in the same way; a request that was placed before the limit was known is withheld. The others hear of a limit from notices, which neighbours pass on (known to all 8 hosts of a test within 50 ms), and so do hosts that have restarted. Where no endpoint of a service has room, requests are refused at once, with a Retry-After that grows with the requests for each one that is taken.

Shares that start full, or round up, fail the new unit test at 25 and 300 hosts by arithmetic: each host sends one request at once.

The soak's callers look up hosts in all zones, not in one only. Weighed: tokens lent by a home of each endpoint (a message between regions for each of few requests).

--- a/source/core/gateway/admission.cpp
+++ b/source/core/gateway/admission.cpp
@@ -74,6 +74,14 @@
     return limit;
 }
 
+/// Requests per second for the service at all hosts, as if each got as many as this one.
+double fleet_request_rate(gateway_state& state, std::string_view service) {
+    const auto limit = fleet_retry_limit(state);
+    const std::lock_guard guard(state.retries.mutex);
+    auto& share = state.retries.services[std::string(service)];
+    return traffic::request_rate(share, limit, monotonic::now()) * static_cast<double>(limit.hosts);
+}
+
 /// Picks an endpoint among those of `wanted.regions`; empty when none has room.
 std::optional<placed_call> place_at_endpoint(gateway_state& state, const traffic::placement_request& wanted,
                                              placement_basis basis) {
@@ -88,6 +96,7 @@
     basis.is_cold = traffic::is_cold(*endpoint, now);
     basis.cold = endpoint->cold;
     basis.cold_room = basis.is_cold ? traffic::cold_room(*endpoint, wanted, now) : 0;
+    basis.limit = endpoint->limit.per_second;
     auto entry = endpoint->entry;
     return placed_call{std::move(endpoint), std::move(entry), basis};
 }
@@ -195,13 +204,18 @@
     wanted.regions = admitted.regions;
     const auto now = monotonic::now();
     std::optional<common::time_point> rest_end;
+    std::optional<double> supply;
     {
         const std::lock_guard guard(state.endpoints.mutex);
         rest_end = traffic::first_rest_end(state.endpoints.set, wanted, now);
+        supply = traffic::limited_supply(state.endpoints.set, wanted, now);
     }
     // Requests that are refused together don't come back together.
     const auto spread = common::stable_hash(request_id) % static_cast<std::uint64_t>(room_expected.count());
     const auto later = milliseconds{static_cast<std::int64_t>(spread)};
+    if (supply) {
+        return traffic::pause_for_competition(fleet_request_rate(state, admitted.service) / *supply) + later;
+    }
     if (!rest_end) {
         return room_expected / 2 + later;
     }
--- a/source/core/gateway/admission.h
+++ b/source/core/gateway/admission.h
@@ -42,6 +42,8 @@
     /// Requests that this host may still send to the endpoint in the current cold window; 0 unless it is
     /// cold.
     double cold_room{0};
+    /// Limit that the endpoint names, in requests per second; the request counts against it.
+    std::optional<double> limit;
     /// Rule, rank and expected times.
     traffic::placement expected;
     /// Number of hosts in the fleet, and when the store last confirmed them.
@@ -73,7 +75,8 @@
 bool has_retry_headroom(gateway_state& state, std::string_view service);
 
 /// Time after which a refused caller should retry. While endpoints that could serve the request rest, it ends
-/// after the first rest, at a time that differs between requests.
+/// after the first rest; while all of them limit the fleet's requests, it grows with the requests for each
+/// that they take. It differs between requests.
 common::milliseconds suggested_retry_after(gateway_state& state, const admitted_call& admitted,
                                            std::string_view request_id);
 
--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -7,6 +7,7 @@
 #include "connection_pool.h"
 #include "core/common/log.h"
 #include "core/traffic/remaining_work.h"
+#include "limit_notices.h"
 #include "load_exchange.h"
 #include "message_headers.h"
 #include "work_record.h"
@@ -26,12 +27,14 @@
 // respond to connects at all.
 constexpr milliseconds connect_timeout{450};
 
-/// Whether the endpoint still wants requests: it may have said otherwise since the placement.
-bool wants_requests(gateway_state& state, const traffic::endpoint_state& endpoint) {
+/// Whether the endpoint still wants the request: it may have said otherwise since the placement. One that was
+/// placed before the endpoint named a limit doesn't count against it.
+bool wants_request(gateway_state& state, const traffic::endpoint_state& endpoint, bool counts_against_limit) {
     bool wanted = false;
     {
         const std::lock_guard guard(state.endpoints.mutex);
-        wanted = !endpoint.wishes.leaving && !traffic::is_resting(endpoint, monotonic::now());
+        wanted = !endpoint.wishes.leaving && !traffic::is_resting(endpoint, monotonic::now()) &&
+                 (counts_against_limit || !endpoint.limit.per_second);
     }
     if (!wanted) {
         common::count(state.metrics, "requests_withheld");
@@ -43,7 +46,8 @@
 /// endpoint, which has taken over the address.
 void note_response_head(gateway_state& state, const traffic::endpoint_ptr& endpoint,
                         const http::response_header<>& head) {
-    if (head.result_int() == status_misdirected || head.find(state.options.headers.leaving) == head.end()) {
+    const auto& leaving = state.options.headers.leaving;
+    if (leaving.empty() || head.result_int() == status_misdirected || head.find(leaving) == head.end()) {
         return;
     }
     bool is_news = false;
@@ -67,13 +71,16 @@
     auto made = std::make_shared<exchange_request>();
     made->deadline = admitted.response_deadline;
     made->connect_deadline = now + connect_timeout;
-    if (placed.basis.is_cold) {
+    if (placed.basis.is_cold || placed.basis.limit) {
         made->send_deadline = placed.basis.placed_at + traffic::cold_sending_time;
     }
-    made->may_send = [&state, endpoint = placed.endpoint] { return wants_requests(state, *endpoint); };
-    if (!names.leaving.empty()) {
+    made->may_send = [&state, endpoint = placed.endpoint, limited = placed.basis.limit.has_value()] {
+        return wants_request(state, *endpoint, limited);
+    };
+    if (!names.leaving.empty() || !names.limit.empty()) {
         made->on_head = [&state, endpoint = placed.endpoint](const http::response_header<>& head) {
             note_response_head(state, endpoint, head);
+            note_limit_in_head(state, endpoint, head);
         };
     }
     made->id_header = names.request_id;
@@ -174,11 +181,22 @@
     }
 }
 
+/// Which of the endpoint's limits the request counts against.
+std::string_view basis_name(const placement_basis& basis) {
+    if (basis.is_cold) {
+        return "cold_share";
+    }
+    return basis.limit ? "limit_share" : "warm";
+}
+
 /// Logs an attempt with its deadline and the basis of its placement: whether the endpoint was considered
 /// cold, the source and age of that state, and the age of the fleet view.
 void log_attempt_sent(gateway_state& state, const call& pending, const running_attempt& it) {
     const auto& basis = it.placed.basis;
     common::count(state.metrics, basis.is_cold ? "cold_attempts" : "warm_attempts");
+    if (basis.limit) {
+        common::count(state.metrics, "limited_attempts");
+    }
     if (!may_log(state)) {
         return;
     }
@@ -187,18 +205,23 @@
     common::log_info(
         "attempt_sent",
         {field("request_id", to_view(pending.request[state.options.headers.request_id])),
-         field("attempt", it.number), field("endpoint", it.placed.entry.id),
+         field("attempt", it.number),
+         field("endpoint", it.placed.entry.id),
          field("kept_connection", it.kept_connection),
          field("due_ms", common::milliseconds_between(now, it.request->deadline)),
-         field("rule", traffic::rule_name(basis.expected.rule)), field("rank", basis.expected.rank),
+         field("rule", traffic::rule_name(basis.expected.rule)),
+         field("rank", basis.expected.rank),
          field("region", it.placed.entry.region),
          field("expected_wait_ms", common::milliseconds_between(it.sent_at, basis.expected.expected_start)),
          field("expected_ms", common::milliseconds_between(it.sent_at, basis.expected.expected_end)),
-         field("stopping", state.stopping.load()), field("basis", basis.is_cold ? "cold_share" : "warm"),
+         field("stopping", state.stopping.load()),
+         field("basis", basis_name(basis)),
+         field("limit", basis.limit.value_or(0)),
          field("cold_ms", basis.is_cold ? common::milliseconds_between(now, basis.cold.until) : 0),
          field("cold_source", traffic::source_name(basis.cold.source)),
          field("cold_told_ms", told ? common::milliseconds_between(basis.cold.updated_at, now) : -1),
-         field("revision", basis.cold.revision), field("cold_room", basis.cold_room),
+         field("revision", basis.cold.revision),
+         field("cold_room", basis.cold_room),
          field("hosts", basis.hosts),
          field("hosts_age_ms",
                common::milliseconds_between(basis.hosts_confirmed_at, common::boot_clock::now()))});
--- a/source/core/gateway/fleet_link.cpp
+++ b/source/core/gateway/fleet_link.cpp
@@ -7,6 +7,7 @@
 #include "core/common/log.h"
 #include "core/schema/peer_codec.h"
 #include "core/transport/listen_socket.h"
+#include "limit_notices.h"
 #include "load_exchange.h"
 #include "team_rates.h"
 
@@ -58,6 +59,10 @@
         respond(handle_load_exchange(state, *read->body.Asload_exchange()));
         return;
     }
+    if (read && read->body.type == schema::peer_body::limit_notice) {
+        respond(handle_limit_notice(state, *read->body.Aslimit_notice()));
+        return;
+    }
     common::log_warning("peer_message_refused", {field("reason", read ? "unexpected" : "unreadable")});
     schema::peer_refusal_t refused;
     refused.step = "decode";
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "core/common/last_reason.h"
 #include "core/common/log.h"
 #include "core/transport/listen_socket.h"
+#include "limit_notices.h"
 #include "load_exchange.h"
 #include "region_table.h"
 #include "request_reader.h"
@@ -116,6 +117,8 @@
                          [&state] { return run_maintenance(state); });
     spawn_permanent_task(state, state.io.get_executor(), "exchange_loads",
                          [&state] { return exchange_loads(state); });
+    spawn_permanent_task(state, state.io.get_executor(), "share_limits",
+                         [&state] { return share_limits(state); });
     for (int n = 0; n < state.options.workers; ++n) {
         running->workers.emplace_back([&state] { run_handlers(state); });
     }
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -47,6 +47,9 @@
     std::string not_run;
     /// Present in all responses of an endpoint that is leaving.
     std::string leaving;
+    /// Requests per second that an endpoint takes from all hosts together, a decimal number in its responses;
+    /// empty if endpoints name no limits.
+    std::string limit;
 };
 
 /// Identity, limits and header names of this host.
@@ -215,6 +218,8 @@
     std::atomic<common::boot_clock::rep> registered_until{0};
     /// Open connections of callers.
     std::atomic<int> open_callers{0};
+    /// A notice of new limits of endpoints is about to be sent to other hosts.
+    std::atomic<bool> limit_notice_pending{false};
 };
 
 /// The configuration in force; null until there is one.
--- a/source/core/gateway/message_headers.cpp
+++ b/source/core/gateway/message_headers.cpp
@@ -197,4 +197,25 @@
     return report;
 }
 
+std::optional<double> parse_endpoint_limit(std::string_view text) {
+    const auto digits = trim(text);
+    // The standard library also reads signs, "inf" and "nan".
+    if (digits.empty() || digits.find_first_not_of("0123456789.") != std::string_view::npos) {
+        return std::nullopt;
+    }
+    double value = 0;
+    const auto result =
+        std::from_chars(digits.data(), digits.data() + digits.size(), value, std::chars_format::fixed);
+    if (result.ptr != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    if (result.ec == std::errc::result_out_of_range) {
+        return traffic::max_endpoint_limit;
+    }
+    if (result.ec != std::errc()) {
+        return std::nullopt;
+    }
+    return traffic::valid_limit(value);
+}
+
 } // namespace lycheegap::gateway
--- a/source/core/gateway/message_headers.h
+++ b/source/core/gateway/message_headers.h
@@ -53,4 +53,8 @@
 std::optional<traffic::load_report> parse_load_report(const response_message& response,
                                                       std::string_view header);
 
+/// Limit in requests per second that a response names, between `traffic::min_endpoint_limit` and
+/// `traffic::max_endpoint_limit`; empty if the text is no decimal number or negative.
+std::optional<double> parse_endpoint_limit(std::string_view text);
+
 } // namespace lycheegap::gateway
--- a/source/core/traffic/cold_limit.h
+++ b/source/core/traffic/cold_limit.h
@@ -5,14 +5,12 @@
 #include <string>
 #include <string_view>
 
-#include "fleet_view.h"
+#include "fleet_share.h"
 #include "sliding_window.h"
 
 namespace lycheegap::traffic {
 
-// A cold endpoint (recently started, or back in use) accepts few requests per second from the whole fleet. To
-// keep that limit without messages between hosts, only a few hosts share it. All hosts compute the same ones
-// from the membership, and a host whose membership view may be out of date has no share.
+// A cold endpoint (recently started, or back in use) accepts few requests per second from the whole fleet.
 
 /// How a host learned that an endpoint is cold.
 enum class cold_source : std::uint8_t {
@@ -45,30 +43,18 @@
 void note_cold(cold_state& cold, common::time_point until, cold_source source, std::uint64_t revision,
                common::time_point now, bool in_use);
 
-/// This host's membership view, which decides whether it has a share of a cold endpoint's limit.
-struct membership_knowledge {
-    /// Name of this host.
-    std::string_view host;
-    /// Null if no membership is known.
-    const fleet_view* fleet{nullptr};
-    /// `membership_validity` after the store last confirmed the membership.
-    common::time_point valid_until;
-};
-
 /// Number of requests that each host with a share may send to a cold endpoint per `cold_window`. `limit` is
 /// the fleet's limit in requests per second; below 1 it allows none.
 double cold_share(double limit);
 
-/// Longest time from the placement of a request on a cold endpoint until it is sent; later, it must not be
-/// sent.
+/// Longest time from the placement of a request that counts against a limit of the fleet until it is sent;
+/// later, it must not be sent.
 inline constexpr common::milliseconds cold_sending_time{250};
 /// Window over which a host counts its requests to a cold endpoint: one second, plus the delay before
 /// sending.
 inline constexpr common::milliseconds cold_window = common::milliseconds{1000} + cold_sending_time;
 
-/// Whether this host has a share of a cold endpoint's limit. It has one if it ranks first, or second for
-/// larger limits, by rendezvous hashing among all hosts that are members or were until recently. It has none
-/// while its membership view is not valid, or if it has itself been a member for less than `handover_time`.
+/// Whether this host has a share of a cold endpoint's limit; two hosts do, for small limits only one.
 bool has_cold_share(const membership_knowledge& knowledge, std::string_view endpoint_id, double limit,
                     common::time_point now);
 
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -59,12 +59,16 @@
 /// Keeps the state of an endpoint that is about to be removed or replaced.
 void keep_former_state(endpoint_set& set, const endpoint_state& it, common::time_point now) {
     const auto retention = it.wishes.leaving ? leaving_retention : former_endpoint_retention;
-    set.former_endpoints[it.entry.id] = {it.entry.started_unix_ms, it.cold, it.cold_requests, it.wishes,
+    set.former_endpoints[it.entry.id] = {it.entry.started_unix_ms,
+                                         it.cold,
+                                         it.cold_requests,
+                                         it.wishes,
+                                         it.limit,
                                          std::max({now + retention, it.cold.until, it.wishes.resting_until})};
 }
 
 /// Restores the state of a former endpoint with the same id. The requests sent to it always count; the cold
-/// time and its wishes are restored only if the start time is the same.
+/// time, its wishes and its limit are restored only if the start time is the same.
 void restore_former_state(endpoint_set& set, endpoint_state& it, common::time_point now) {
     const auto found = set.former_endpoints.find(it.entry.id);
     if (found == set.former_endpoints.end()) {
@@ -73,6 +77,7 @@
     it.cold_requests = std::move(found->second.cold_requests);
     if (found->second.started_unix_ms == it.entry.started_unix_ms) {
         it.wishes = found->second.wishes;
+        it.limit = found->second.limit;
         if (found->second.cold.until > now) {
             it.cold = found->second.cold;
         }
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -12,6 +12,7 @@
 
 #include "cold_limit.h"
 #include "core/common/clock.h"
+#include "endpoint_limit.h"
 #include "endpoint_work.h"
 #include "sliding_window.h"
 
@@ -91,6 +92,8 @@
     sliding_window cold_requests;
     /// What the endpoint itself has asked for.
     endpoint_wishes wishes;
+    /// Limit on the requests of all hosts that the endpoint names.
+    endpoint_limit limit;
     /// Set if its entry disappeared just after a store outage: the endpoint is removed at this time unless it
     /// registers again before.
     std::optional<common::time_point> removal_due;
@@ -105,6 +108,7 @@
     cold_state cold;
     sliding_window cold_requests;
     endpoint_wishes wishes;
+    endpoint_limit limit;
     /// When this state is dropped.
     common::time_point forget_at;
 };
--- a/source/core/traffic/placement.cpp
+++ b/source/core/traffic/placement.cpp
@@ -56,6 +56,18 @@
            static_cast<double>(count_events(endpoint.cold_requests, now, cold_window));
 }
 
+bool has_fleet_room(endpoint_state& endpoint, const placement_request& request, common::time_point now) {
+    return (!is_cold(endpoint, now) || cold_room(endpoint, request, now) >= 1) &&
+           has_limit_room(endpoint.limit, request.knowledge, endpoint.entry.id, now);
+}
+
+void count_placement(endpoint_state& endpoint, const placement_request& request, common::time_point now) {
+    if (is_cold(endpoint, now)) {
+        endpoint.cold_requests.event_times.push_back(now);
+    }
+    count_limited_request(endpoint.limit, request.knowledge, endpoint.entry.id, now);
+}
+
 std::optional<common::time_point> first_rest_end(const endpoint_set& set, const placement_request& request,
                                                  common::time_point now) {
     std::optional<common::time_point> first;
@@ -72,6 +84,25 @@
     return first;
 }
 
+std::optional<double> limited_supply(const endpoint_set& set, const placement_request& request,
+                                     common::time_point now) {
+    std::optional<double> supply;
+    const auto all = set.by_service.find(request.service);
+    if (all == set.by_service.end()) {
+        return supply;
+    }
+    for (const auto& it : all->second) {
+        if (!may_serve(set, *it, request) || is_resting(*it, now)) {
+            continue;
+        }
+        if (!it->limit.per_second) {
+            return std::nullopt;
+        }
+        supply = supply.value_or(0) + *it->limit.per_second;
+    }
+    return supply;
+}
+
 placement place_request(endpoint_set& set, work_costs& costs, const placement_request& request,
                         common::time_point now) {
     const auto rule =
--- a/source/core/traffic/placement.h
+++ b/source/core/traffic/placement.h
@@ -38,7 +38,7 @@
     std::span<const std::string> regions;
     /// Ids of the endpoints already tried for this request; they are excluded.
     std::span<const std::string> tried;
-    /// Membership view, which decides on this host's share of cold endpoints.
+    /// Membership view, which decides on this host's shares of endpoints' limits.
     membership_knowledge knowledge;
     /// Response time that callers expect; 0 if the route states none.
     common::milliseconds target_latency{0};
@@ -74,8 +74,8 @@
 /// them for copies of objects.
 placement_rule rule_for(const endpoint_set& set, std::string_view service);
 
-/// Selects the endpoint for a request by the request's rule. If the selected endpoint is cold, the request
-/// counts against its limit.
+/// Selects the endpoint for a request by the request's rule. The request counts against the endpoint's limits
+/// on the requests of the whole fleet.
 placement place_request(endpoint_set& set, work_costs& costs, const placement_request& request,
                         common::time_point now);
 
@@ -83,6 +83,18 @@
 std::optional<common::time_point> first_rest_end(const endpoint_set& set, const placement_request& request,
                                                  common::time_point now);
 
+/// Whether the limits on the requests of the whole fleet to the endpoint, while it is cold or names one,
+/// leave room for a request of this host.
+bool has_fleet_room(endpoint_state& endpoint, const placement_request& request, common::time_point now);
+
+/// Counts a request that was placed at the endpoint against these limits.
+void count_placement(endpoint_state& endpoint, const placement_request& request, common::time_point now);
+
+/// Requests per second that the endpoints which could serve the request take from all hosts together; empty
+/// unless all of them name a limit.
+std::optional<double> limited_supply(const endpoint_set& set, const placement_request& request,
+                                     common::time_point now);
+
 /// Number of requests that this host may still send to a cold endpoint in the `cold_window` that ends now; 0
 /// if it has no share of the endpoint's limit.
 double cold_room(endpoint_state& endpoint, const placement_request& request, common::time_point now);
--- a/source/core/traffic/placement_by_load.cpp
+++ b/source/core/traffic/placement_by_load.cpp
@@ -46,8 +46,7 @@
         return found;
     }
     for (const auto& it : all->second) {
-        if (!may_serve(set, *it, request) || is_resting(*it, now) ||
-            (is_cold(*it, now) && cold_room(*it, request, now) < 1)) {
+        if (!may_serve(set, *it, request) || is_resting(*it, now) || !has_fleet_room(*it, request, now)) {
             continue;
         }
         const bool avoided = is_avoided(*it, request, now);
@@ -115,9 +114,7 @@
         return nullptr;
     }
     auto chosen = found->endpoint;
-    if (is_cold(*chosen, now)) {
-        chosen->cold_requests.event_times.push_back(now);
-    }
+    count_placement(*chosen, request, now);
     return chosen;
 }
 
--- a/source/core/traffic/placement_by_work.cpp
+++ b/source/core/traffic/placement_by_work.cpp
@@ -123,8 +123,7 @@
 /// Whether the endpoint can be selected now.
 bool is_usable(const placement_context& it, endpoint_state& endpoint) {
     const auto& request = *it.request;
-    if (is_resting(endpoint, it.now) ||
-        (is_cold(endpoint, it.now) && cold_room(endpoint, request, it.now) < 1)) {
+    if (is_resting(endpoint, it.now) || !has_fleet_room(endpoint, request, it.now)) {
         return false;
     }
     const auto& tried = request.tried;
@@ -336,9 +335,7 @@
     made.expected_end = after(found.wait_ms + found.run_ms + found.round_trip_ms);
     made.rank = found.rank;
     made.work = work_at_rank(context.forecast, found.rank);
-    if (is_cold(*found.endpoint, now)) {
-        found.endpoint->cold_requests.event_times.push_back(now);
-    }
+    count_placement(*found.endpoint, request, now);
     return made;
 }
 
--- a/source/core/traffic/rate_home.cpp
+++ b/source/core/traffic/rate_home.cpp
@@ -250,13 +250,14 @@
     tokens.own.tokens += 1;
 }
 
+common::milliseconds pause_for_competition(double requests_per_served) {
+    const auto longest = static_cast<double>(max_refusal_pause.count());
+    const auto pause = std::min(refusal_pause_per_request_ms * requests_per_served, longest);
+    return std::max(common::milliseconds{static_cast<std::int64_t>(pause)}, min_refusal_pause);
+}
+
 common::milliseconds refusal_pause(const team_tokens& tokens) {
-    const double requests_per_token =
-        tokens.request_rate / std::max(tokens.token_use_rate, min_token_use_rate);
-    const auto pause =
-        std::chrono::duration<double, std::milli>(refusal_pause_per_request_ms * requests_per_token);
-    return std::clamp(std::chrono::duration_cast<common::milliseconds>(pause), min_refusal_pause,
-                      max_refusal_pause);
+    return pause_for_competition(tokens.request_rate / std::max(tokens.token_use_rate, min_token_use_rate));
 }
 
 } // namespace lycheegap::traffic
--- a/source/core/traffic/rate_home.h
+++ b/source/core/traffic/rate_home.h
@@ -135,6 +135,10 @@
 /// Returns a token that was taken but not used.
 void return_token(team_tokens& tokens);
 
+/// Time after which a refused caller should retry, for the number of requests that compete for each one that
+/// can be served.
+common::milliseconds pause_for_competition(double requests_per_served);
+
 /// Time after which a refused caller should retry; it grows with the number of requests per available token.
 common::milliseconds refusal_pause(const team_tokens& tokens);
 
--- a/source/core/traffic/rate_share.cpp
+++ b/source/core/traffic/rate_share.cpp
@@ -27,9 +27,13 @@
     return {caller_team.rate * factor, caller_team.burst * factor + bounds.slack * usable_limit_fraction};
 }
 
-bool take_token(rate_bucket& bucket, const rate_limit& limit, common::time_point now) {
+bool has_token(rate_bucket& bucket, const rate_limit& limit, common::time_point now) {
     refill(bucket, limit, now);
-    if (bucket.tokens < 1) {
+    return bucket.tokens >= 1;
+}
+
+bool take_token(rate_bucket& bucket, const rate_limit& limit, common::time_point now) {
+    if (!has_token(bucket, limit, now)) {
         return false;
     }
     bucket.tokens -= 1;
--- a/source/core/traffic/rate_share.h
+++ b/source/core/traffic/rate_share.h
@@ -33,6 +33,9 @@
     common::time_point at;
 };
 
+/// Refills the bucket and returns whether it holds a token.
+bool has_token(rate_bucket& bucket, const rate_limit& limit, common::time_point now);
+
 /// Refills the bucket and takes a token if there is one. `limit` is the bucket's share of the fleet's limit.
 bool take_token(rate_bucket& bucket, const rate_limit& limit, common::time_point now);
 
--- a/source/core/traffic/retry_share.cpp
+++ b/source/core/traffic/retry_share.cpp
@@ -22,6 +22,11 @@
     share.requests.event_times.push_back(now);
 }
 
+double request_rate(retry_share& share, const retry_limit& limit, common::time_point now) {
+    return static_cast<double>(count_events(share.requests, now, limit.window)) /
+           common::seconds_between(now, now + limit.window);
+}
+
 bool take_retry(retry_share& share, const retry_limit& limit, common::time_point now) {
     return try_record_event(share.retries, now, limit.window, retries_allowed(share, limit, now));
 }
--- a/source/core/traffic/retry_share.h
+++ b/source/core/traffic/retry_share.h
@@ -24,6 +24,9 @@
 /// Records a request, which adds to the retry budget.
 void note_request(retry_share& share, common::time_point now);
 
+/// Requests per second over the window of the limit.
+double request_rate(retry_share& share, const retry_limit& limit, common::time_point now);
+
 /// Records a retry if this host's share of the limit allows it, and returns whether it does. Needs no
 /// messages between hosts.
 bool take_retry(retry_share& share, const retry_limit& limit, common::time_point now);
--- a/source/soak/soak_calls.cpp
+++ b/source/soak/soak_calls.cpp
@@ -25,6 +25,7 @@
 /// State of one caller. Its connections stay open until the host closes them.
 struct soak_caller {
     std::mt19937_64 random;
+    std::string zone;
     transport::connection_pool connections;
     /// Request addresses of the last lookup, without hosts that failed since.
     std::vector<std::string> hosts;
@@ -52,7 +53,7 @@
     for (std::size_t n = 0; n < fleet.hosts.size(); ++n) {
         const auto& asked = fleet.hosts[(first + n) % fleet.hosts.size()];
         auto call = make_call(asked.lookup_address, "GET", "/api/resolve", lookup_timeout);
-        call.head.query = "name=soak.example&region=coast&zone=zone-1";
+        call.head.query = fmt::format("name=soak.example&region=coast&zone={}", caller.zone);
         const auto result = transport::call_http(caller.connections, call);
         if (!result.response || result.response->status != status_ok) {
             continue;
@@ -125,6 +126,7 @@
 void soak_callers::send_until_stopped(std::size_t n, std::uint64_t seed) {
     soak_caller caller;
     caller.random.seed(seed * 1000 + n);
+    caller.zone = fmt::format("zone-{}", n % 3 + 1);
     while (!stopping_) {
         if (monotonic::now() >= caller.hosts_expire_at) {
             look_up_hosts(fleet_, caller);
