--- a/source/stand_ins/platform_store.cpp
+++ b/source/stand_ins/platform_store.cpp
@@ -147,7 +147,7 @@
         monotonic::now() + milliseconds(parse_uint_or(query_parameter(query, "wait_ms"), 0));
     while (!store.stopping && !store.faults.outage) {
         expire_leases(store);
-        if (after < store.compacted_revision) {
+        if (after < store.compacted_revision || after > store.revision) {
             return {status_gone, {}, {}};
         }
         const auto events =
@@ -264,6 +264,10 @@
     }
 }
 
+execution::header era_header(const platform_store& store) {
+    return {"Store-Era", std::to_string(store.era)};
+}
+
 http_response serve_client(platform_store& store, const http_request& request) {
     store_lock guard(store.mutex);
     ++store.calls;
@@ -271,16 +275,30 @@
         wait_unless_stopped(store, guard, milliseconds{store.faults.delay_ms});
     }
     if (store.faults.outage || store.faults.refused_ips.contains(request.peer)) {
-        return {status_unavailable, {}, {}};
+        return {status_unavailable, {era_header(store)}, {}};
     }
     expire_leases(store);
     auto response = dispatch_call(store, guard, request);
+    response.headers.push_back(era_header(store));
     if (store.faults.loses_answers) {
         wait_unless_stopped(store, guard, lost_answer_delay);
     }
     return response;
 }
 
+void keep_copy_with_lock_held(platform_store& store) {
+    store.copy = static_cast<const platform_contents&>(store);
+}
+
+void restore_copy_with_lock_held(platform_store& store) {
+    static_cast<platform_contents&>(store) = store.copy;
+    for (auto& [id, it] : store.leases) {
+        it.expires_at = monotonic::now() + it.ttl;
+    }
+    ++store.era;
+    store.changed.notify_all();
+}
+
 /// Starts or ends an outage. At the end, suspended leases get their full TTL again.
 void set_outage(platform_store& store, bool outage) {
     if (store.faults.outage && !outage && !store.faults.leases_run) {
@@ -311,6 +329,12 @@
         store.compacted_revision = store.revision;
         store.history.clear();
     }
+    if (flag("keep_copy", false)) {
+        keep_copy_with_lock_held(store);
+    }
+    if (flag("restore", false)) {
+        restore_copy_with_lock_held(store);
+    }
     set_outage(store, flag("outage", faults.outage));
     return {200, {}, "done\n"};
 }
@@ -362,6 +386,16 @@
     store.changed.notify_all();
 }
 
+void keep_copy(platform_store& store) {
+    const std::lock_guard guard(store.mutex);
+    keep_copy_with_lock_held(store);
+}
+
+void restore_copy(platform_store& store) {
+    const std::lock_guard guard(store.mutex);
+    restore_copy_with_lock_held(store);
+}
+
 void set_faults(platform_store& store, platform_faults faults) {
     const std::lock_guard guard(store.mutex);
     const bool outage = faults.outage;
--- a/source/stand_ins/platform_store.h
+++ b/source/stand_ins/platform_store.h
@@ -49,10 +49,8 @@
     std::set<std::string, std::less<>> refused_ips{};
 };
 
-/// State of the stand-in for the users' platform store, guarded by `mutex`.
-struct platform_store {
-    common::ranked_mutex mutex{common::lock_rank::leaf};
-    std::condition_variable_any changed;
+/// What the store loses when it comes back from an older copy.
+struct platform_contents {
     std::map<std::string, platform_item, std::less<>> items;
     /// Changes in the order of their revisions.
     std::deque<platform_item> history;
@@ -60,6 +58,16 @@
     std::uint64_t compacted_revision{1};
     std::uint64_t revision{1};
     std::map<std::uint64_t, platform_lease> leases;
+};
+
+/// State of the stand-in for the users' platform store, guarded by `mutex`.
+struct platform_store : platform_contents {
+    common::ranked_mutex mutex{common::lock_rank::leaf};
+    std::condition_variable_any changed;
+    /// Copy from which the store comes back.
+    platform_contents copy;
+    /// Rises each time that the store comes back from a copy. In the header Store-Era of all answers.
+    std::uint64_t era{1};
     std::uint64_t next_lease{1};
     platform_faults faults;
     std::uint64_t calls{0};
@@ -68,7 +76,8 @@
 
 /// Handles one HTTP request: the platform's calls for ranges, watches, leases and transactions.
 /// /operator?key= writes (POST) or removes (DELETE) a key.
-/// /control?outage=&leases_run=&loses_answers=&delay_ms=&refuse=&accept=&drop_history= sets faults.
+/// /control?outage=&leases_run=&loses_answers=&delay_ms=&refuse=&accept=&drop_history=&keep_copy=&restore=
+/// sets faults.
 transport::http_response serve_platform_store(platform_store& store, const transport::http_request& request);
 
 /// Writes a key, reserved ones included, as an operator or an endpoint does; returns the new revision.
@@ -77,6 +86,11 @@
 void remove_item(platform_store& store, std::string_view key);
 /// Drops the change history, so that a watch from an older revision gets status 410.
 void drop_history(platform_store& store);
+/// Keeps a copy of the contents.
+void keep_copy(platform_store& store);
+/// Brings the contents back to the copy: later writes are gone, leases too, and their revisions are given out
+/// again.
+void restore_copy(platform_store& store);
 /// Replaces all faults. Ending an outage renews all leases unless the new faults set `leases_run`.
 void set_faults(platform_store& store, platform_faults faults);
 
