Revisions of the store are ordered by its era first

Cause: hosts took the store's revision as one line for ever. A full read behind the known revision was dropped, each watch got 410 again, and all hosts read everything up to 68 times a second until the store's own counter had passed the old one; what had been written before that was never seen.

Now a revision holds the store's era, from the header of each answer, above the store's number, so that every place that compares one orders it by era: items, tombstones, the position of a copy, questions between hosts, bases of differences, a host's own entry and its conditions. A watch that is answered in another era is lost history, also when its number has been given out again; an answer from before the restore is dropped; a read behind the copy in the same era still is.

What only the hosts have is kept: the configuration by its version, an endpoint's entry by its start and heartbeat count, a removal of either. A kept value has a revision between the store's old and next one. Hosts name their revision of the configuration in questions, and relays compare it once after their start, so that a host that starts after the restore gets what the others keep.

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -6,6 +6,7 @@
 
 #include "connection_pool.h"
 #include "core/common/log.h"
+#include "core/common/store_revision.h"
 #include "core/traffic/remaining_work.h"
 #include "limit_notices.h"
 #include "load_exchange.h"
@@ -220,7 +221,7 @@
          field("cold_ms", basis.is_cold ? common::milliseconds_between(now, basis.cold.until) : 0),
          field("cold_source", traffic::source_name(basis.cold.source)),
          field("cold_told_ms", told ? common::milliseconds_between(basis.cold.updated_at, now) : -1),
-         field("revision", basis.cold.revision),
+         field("revision", common::number_of(basis.cold.revision)),
          field("cold_room", basis.cold_room),
          field("hosts", basis.hosts),
          field("hosts_age_ms",
--- a/source/core/gateway/fleet_link.cpp
+++ b/source/core/gateway/fleet_link.cpp
@@ -23,17 +23,25 @@
 // Longer waits of mirror questions are capped to this.
 constexpr int max_wait_ms = 5000;
 
+std::vector<version_name> to_names(const std::vector<std::unique_ptr<schema::held_value_t>>& from) {
+    std::vector<version_name> names;
+    for (const auto& it : from) {
+        if (it) {
+            names.push_back({it->key, it->revision});
+        }
+    }
+    return names;
+}
+
 mirror_query to_query(const schema::mirror_question_t& question) {
     mirror_query query{.after = question.after,
                        .wait = milliseconds{std::clamp(question.wait, 0, max_wait_ms)},
                        .max_age = milliseconds{std::max(question.max_age, 0)},
                        .accepts_compressed = question.accepts_compressed,
-                       .held = {}};
-    for (const auto& it : question.held_values) {
-        if (it) {
-            query.held.push_back({it->key, it->revision});
-        }
-    }
+                       .held = {},
+                       .compared = {}};
+    query.held = to_names(question.held_values);
+    query.compared = to_names(question.compared);
     return query;
 }
 
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -43,6 +43,7 @@
         prune_endpoint_connections(state);
         answer_expired_waiters(state.mirror);
         expire_members(state);
+        expire_vacated_domains(state);
         update_rate_rights(state);
         update_regions(state);
         std::vector<std::string> gone;
--- a/source/core/gateway/gateway_state.cpp
+++ b/source/core/gateway/gateway_state.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 
 #include "core/common/log.h"
+#include "core/common/store_revision.h"
 
 namespace lycheegap::gateway {
 
@@ -169,7 +170,7 @@
                       field("service", known.service), field("address", known.address),
                       field("domain", known.domain), field("leaving", known.leaving),
                       field("slots", known.slots), field("cold_ms", known.cold_remaining.count()),
-                      field("revision", known.revision)});
+                      field("revision", common::number_of(known.revision))});
 }
 
 void drop_endpoint(gateway_state& state, std::string_view id, std::optional<common::time_point> due) {
@@ -198,6 +199,22 @@
                                         field("cold_ms", vacated ? 0 : cold_time.count())});
 }
 
+void end_vacating_later(gateway_state& state, std::string_view domain, common::time_point due) {
+    const std::lock_guard guard(state.endpoints.mutex);
+    traffic::end_vacating_later(state.endpoints.set, domain, due);
+}
+
+void expire_vacated_domains(gateway_state& state) {
+    std::vector<std::string> due;
+    {
+        const std::lock_guard guard(state.endpoints.mutex);
+        due = traffic::take_due_vacating_ends(state.endpoints.set, monotonic::now());
+    }
+    for (const auto& domain : due) {
+        set_domain_vacated(state, domain, false);
+    }
+}
+
 void apply_members(gateway_state& state, std::vector<traffic::member_change> changes,
                    common::time_point removal_not_before) {
     const auto now = monotonic::now();
--- a/source/core/gateway/gateway_state.h
+++ b/source/core/gateway/gateway_state.h
@@ -259,6 +259,10 @@
 void drop_endpoint(gateway_state& state, std::string_view id, std::optional<common::time_point> due);
 /// Marks a failure domain as vacated, so that its endpoints get no work, or as in use again.
 void set_domain_vacated(gateway_state& state, std::string_view domain, bool vacated);
+/// Marks a vacated failure domain as in use again at `due`, unless it is marked as vacated anew before.
+void end_vacating_later(gateway_state& state, std::string_view domain, common::time_point due);
+/// Marks the vacated domains as in use again that are due.
+void expire_vacated_domains(gateway_state& state);
 /// Applies changes of the fleet's hosts. Hosts that left are removed at `removal_not_before` unless they
 /// register again before, and are kept as former members for a while.
 void apply_members(gateway_state& state, std::vector<traffic::member_change> changes,
--- a/source/core/gateway/mirror_answer.cpp
+++ b/source/core/gateway/mirror_answer.cpp
@@ -29,7 +29,9 @@
 std::unique_ptr<schema::mirror_item_record_t> to_record(const mirror_item& from) {
     auto made = std::make_unique<schema::mirror_item_record_t>();
     made->key = from.key;
-    made->value.assign(from.value.begin(), from.value.end());
+    if (!from.removed) {
+        made->value.assign(from.value.begin(), from.value.end());
+    }
     made->revision = from.revision;
     made->lease = from.lease;
     made->removed = from.removed;
@@ -124,7 +126,7 @@
     plan.update = begin_changes(mirror, query.after);
     plan.accepts_compressed = query.accepts_compressed;
     for (const auto& [key, it] : mirror.items) {
-        if (!is_included(plan.update, it, query.after)) {
+        if (!is_included(plan.update, it, query.after) && !is_later_than_compared(it, query)) {
             continue;
         }
         const auto value =
--- a/source/core/gateway/state_mirror.cpp
+++ b/source/core/gateway/state_mirror.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <set>
 
+#include "core/common/store_revision.h"
 #include "mirror_answer.h"
 
 namespace lycheegap::gateway {
@@ -15,20 +16,64 @@
 // Tombstones kept. When there are more, all are dropped, and hosts that are behind get a snapshot.
 constexpr std::size_t max_tombstones = 2000;
 
+/// Whether the two were read from the store before and after it came back from an older copy.
+bool is_restored_since(const mirror_item& known, std::uint64_t revision) {
+    return common::era_of(known.revision) < common::era_of(revision);
+}
+
+/// Whether the known item stays, since the store's one is older and came back with a copy. A kept value stays
+/// until the store has a later one; a kept removal only until the store says anything of the key.
+bool is_kept_over(const state_mirror& mirror, const mirror_item& known, const mirror_item& item) {
+    const bool may_be_outdated =
+        is_restored_since(known, item.revision) || (!known.removed && common::is_kept(known.revision));
+    return may_be_outdated && mirror.is_outdated != nullptr && mirror.is_outdated(known, item);
+}
+
+void keep_known(state_mirror& mirror, mirror_item& known, std::uint64_t revision) {
+    known.revision = common::kept_over(revision);
+    known.change_revision = known.revision;
+    note_version(mirror.history, known.key, known.revision, known.removed ? std::string() : known.value);
+    mirror.change_revision = std::max(mirror.change_revision, known.change_revision);
+}
+
+/// Whether the item only moves the revision of the known one on.
+bool is_refreshed_by(const state_mirror& mirror, const mirror_item& known, const mirror_item& item) {
+    if (known.removed || item.removed) {
+        return known.removed && item.removed;
+    }
+    const bool is_same = known.value == item.value && known.lease == item.lease;
+    return (is_same && is_restored_since(known, item.revision)) ||
+           (mirror.is_heartbeat != nullptr && mirror.is_heartbeat(known, item));
+}
+
 /// Merges one item and appends it to `changes` unless it is older than the known one or a heartbeat.
 void apply_item(state_mirror& mirror, mirror_item item, std::vector<mirror_item>& changes) {
     const auto known = mirror.items.find(item.key);
-    if (known != mirror.items.end() && known->second.revision >= item.revision) {
-        return;
-    }
-    const bool existed = known != mirror.items.end() && !known->second.removed;
-    if (existed && !item.removed && mirror.is_heartbeat != nullptr &&
-        mirror.is_heartbeat(known->second, item)) {
-        known->second.revision = item.revision;
-        return;
+    if (known != mirror.items.end()) {
+        if (known->second.revision >= item.revision) {
+            return;
+        }
+        if (is_refreshed_by(mirror, known->second, item)) {
+            if (is_restored_since(known->second, item.revision)) {
+                note_version(mirror.history, item.key, item.revision, item.value);
+            }
+            known->second.revision = item.revision;
+            if (!item.removed) {
+                known->second.value = std::move(item.value);
+            }
+            return;
+        }
+        if (is_kept_over(mirror, known->second, item)) {
+            keep_known(mirror, known->second, item.revision);
+            return;
+        }
+        if (item.removed) {
+            item.value = known->second.value;
+            item.lost = is_restored_since(known->second, item.revision);
+        }
     }
     item.change_revision = item.revision;
-    note_version(mirror.history, item.key, item.revision, item.value);
+    note_version(mirror.history, item.key, item.revision, item.removed ? std::string() : item.value);
     mirror.change_revision = std::max(mirror.change_revision, item.revision);
     // Includes the removal of a key unknown to this host, which was added and removed between two reads.
     changes.push_back(item);
@@ -53,9 +98,12 @@
         tombstone.revision = update.revision + 1;
         tombstone.removed = true;
         apply_item(mirror, std::move(tombstone), changes);
-        // The exact revision of the removal is unknown, but it is not after the snapshot's.
-        mirror.items[key].revision = update.revision;
-        mirror.items[key].change_revision = update.revision;
+        auto& known = mirror.items[key];
+        if (known.removed) {
+            // The exact revision of the removal is unknown, but it is not after the snapshot's.
+            known.revision = update.revision;
+            known.change_revision = update.revision;
+        }
     }
 }
 
@@ -81,9 +129,17 @@
     return query.max_age.count() > 0 && common::boot_clock::now() - mirror.confirmed_at > query.max_age;
 }
 
+bool has_later_than_compared(const state_mirror& mirror, const mirror_query& query) {
+    return std::any_of(query.compared.begin(), query.compared.end(), [&](const version_name& it) {
+        const auto found = mirror.items.find(it.key);
+        return found != mirror.items.end() && is_later_than_compared(found->second, query);
+    });
+}
+
 /// Whether the two get the same answer when they are answered at the same time.
 bool is_answered_alike(const mirror_query& a, const mirror_query& b) {
-    return a.after == b.after && a.accepts_compressed == b.accepts_compressed && a.held == b.held;
+    return a.after == b.after && a.accepts_compressed == b.accepts_compressed && a.held == b.held &&
+           a.compared == b.compared;
 }
 
 void add_ready(std::vector<ready_answer>& ready, const state_mirror& mirror, mirror_waiter waiter) {
@@ -104,7 +160,7 @@
     std::vector<ready_answer> ready;
     std::erase_if(table.waiters, [&](mirror_waiter& it) {
         if (it.query.after >= table.mirror.change_revision && it.due > now &&
-            !is_too_old(table.mirror, it.query)) {
+            !is_too_old(table.mirror, it.query) && !has_later_than_compared(table.mirror, it.query)) {
             return false;
         }
         add_ready(ready, table.mirror, std::move(it));
@@ -135,6 +191,9 @@
 
 std::vector<mirror_item> merge_update(state_mirror& mirror, mirror_update update) {
     std::vector<mirror_item> changes;
+    if (mirror.complete && common::era_of(mirror.revision) < common::era_of(update.revision)) {
+        mirror.restored_at = monotonic::now();
+    }
     if (update.is_snapshot && mirror.complete && update.revision < mirror.revision) {
         return changes;
     }
@@ -168,6 +227,12 @@
     return changes.is_snapshot ? !item.removed : item.change_revision > after;
 }
 
+bool is_later_than_compared(const mirror_item& item, const mirror_query& query) {
+    const auto found = std::find_if(query.compared.begin(), query.compared.end(),
+                                    [&](const version_name& it) { return it.key == item.key; });
+    return found != query.compared.end() && found->revision < item.revision;
+}
+
 mirror_update changes_since(const state_mirror& mirror, std::uint64_t after) {
     auto changes = begin_changes(mirror, after);
     for (const auto& [key, it] : mirror.items) {
--- a/source/core/gateway/state_mirror.h
+++ b/source/core/gateway/state_mirror.h
@@ -20,19 +20,26 @@
 struct mirror_item {
     std::string key;
     std::string value;
-    /// Revision of the store at the last change of the item, heartbeats included.
+    /// Revision of the store at the last change of the item, heartbeats included; see
+    /// `common::make_revision`.
     std::uint64_t revision{0};
     /// Lease that the item goes with; 0 for none.
     std::uint64_t lease{0};
-    /// The item is a tombstone.
+    /// The item is a tombstone. In the mirror it has the last value.
     bool removed{false};
     /// Revision of the last change that was not a heartbeat.
     std::uint64_t change_revision{0};
+    /// Among changes: the item was removed because the store came back from an older copy that lacks it.
+    bool lost{false};
 };
 
 /// Whether a newer item of a key only refreshes the known one, as the heartbeats of endpoints do.
 using heartbeat_predicate = bool (*)(const mirror_item& known, const mirror_item& newer);
 
+/// Whether an item of a store that came back from an older copy is older than the known one, which may be a
+/// tombstone, or is the known item's removal that must not be taken from the copy.
+using outdated_predicate = bool (*)(const mirror_item& known, const mirror_item& restored);
+
 /// Items read from the store or from another host's mirror.
 struct mirror_update {
     std::vector<mirror_item> items;
@@ -56,6 +63,10 @@
     std::uint64_t change_revision{0};
     /// Null treats every newer item as a change.
     heartbeat_predicate is_heartbeat{nullptr};
+    /// Null if everything that a restored store has counts.
+    outdated_predicate is_outdated{nullptr};
+    /// When this mirror last learned that the store had come back from an older copy.
+    std::optional<common::time_point> restored_at;
     /// Tombstones of removals before this revision may be missing.
     std::uint64_t removals_complete_from{0};
     /// A snapshot has been merged.
@@ -67,7 +78,9 @@
 };
 
 /// Merges an update and returns the items that changed, including removals but not heartbeats. No item goes
-/// back to an older revision.
+/// back to an older revision. What a store that has come back from an older copy says is later than all that
+/// it said before, except for items that `is_outdated` recognizes: their known values are kept until the
+/// store has later ones.
 std::vector<mirror_item> merge_update(state_mirror& mirror, mirror_update update);
 
 /// Items that changed after a revision, without heartbeats. A snapshot when `after` is 0 or older than the
@@ -92,8 +105,15 @@
     bool accepts_compressed{false};
     /// Large values that the other host has.
     std::vector<version_name> held;
+    /// Items that are sent if this mirror has a later revision of them, whatever `after` says: after a
+    /// restore a host that has just started may know the store's latest revision but not what the others
+    /// keep.
+    std::vector<version_name> compared;
 };
 
+/// Whether the item is one that the query compares, with a later revision.
+bool is_later_than_compared(const mirror_item& item, const mirror_query& query);
+
 /// A pending query of another host that waits for a change.
 struct mirror_waiter {
     mirror_query query;
--- a/source/core/traffic/endpoint_set.cpp
+++ b/source/core/traffic/endpoint_set.cpp
@@ -222,6 +222,7 @@
 
 void set_vacated(endpoint_set& set, std::string_view domain, bool vacated, common::time_point now,
                  common::milliseconds cold_time) {
+    set.vacating_ends.erase(std::string(domain));
     if (vacated) {
         set.vacated_domains.emplace(domain);
         return;
@@ -233,6 +234,23 @@
     mark_domain_cold(set, domain, now + cold_time, cold_source::vacated, now);
 }
 
+void end_vacating_later(endpoint_set& set, std::string_view domain, common::time_point due) {
+    if (set.vacated_domains.contains(domain)) {
+        set.vacating_ends.insert_or_assign(std::string(domain), due);
+    }
+}
+
+std::vector<std::string> take_due_vacating_ends(endpoint_set& set, common::time_point now) {
+    std::vector<std::string> due;
+    std::erase_if(set.vacating_ends, [&](const auto& it) {
+        if (it.second <= now) {
+            due.push_back(it.first);
+        }
+        return it.second <= now;
+    });
+    return due;
+}
+
 bool is_cold(const endpoint_state& endpoint, common::time_point now) {
     return endpoint.cold.until > now;
 }
--- a/source/core/traffic/endpoint_set.h
+++ b/source/core/traffic/endpoint_set.h
@@ -128,6 +128,8 @@
     std::map<std::string, std::vector<endpoint_group>, std::less<>> groups;
     /// Failure domains whose endpoints must get no new work.
     std::set<std::string, std::less<>> vacated_domains;
+    /// Vacated domains that will be in use again, and when.
+    std::map<std::string, common::time_point, std::less<>> vacating_ends;
     /// Failure domains all of whose endpoints count as cold, and until when.
     std::map<std::string, common::time_point, std::less<>> cold_domains;
     /// Removed endpoints by id.
@@ -159,6 +161,12 @@
 void set_vacated(endpoint_set& set, std::string_view domain, bool vacated, common::time_point now,
                  common::milliseconds cold_time);
 
+/// Has a vacated domain be in use again at `due`, unless it is marked as vacated anew before.
+void end_vacating_later(endpoint_set& set, std::string_view domain, common::time_point due);
+
+/// Removes and returns the domains that are due to be in use again.
+std::vector<std::string> take_due_vacating_ends(endpoint_set& set, common::time_point now);
+
 /// Whether the endpoint is cold as far as this host knows.
 bool is_cold(const endpoint_state& endpoint, common::time_point now);
 
--- a/source/unit_tests/platform/following_fleet.cpp
+++ b/source/unit_tests/platform/following_fleet.cpp
@@ -64,6 +64,7 @@
     auto& state = *made->running->state;
     made->fleet = gateway::open_fleet_link(state, "127.0.0.1", 0, "secret");
     state.mirror.mirror.is_heartbeat = &is_heartbeat;
+    state.mirror.mirror.is_outdated = &is_outdated;
     made->follower = std::make_shared<store_follower>();
     made->follower->state = &state;
     made->follower->fleet = made->fleet.get();
--- a/source/unit_tests/platform/store_calls_test.cpp
+++ b/source/unit_tests/platform/store_calls_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
+
+#include "core/common/store_revision.h"
 #include <fmt/format.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -83,7 +85,7 @@
 TEST_CASE("a response that takes long is read as long as bytes arrive") {
     const auto result = read_slowly(5, milliseconds(700));
     CHECK(result.status == store_status::ok);
-    CHECK(result.value.revision == 7);
+    CHECK(common::number_of(result.value.revision) == 7);
 }
 
 TEST_CASE("the pauses between failed calls grow, so that a host makes few calls in a long outage") {
