An answer with an impossible status reaches no caller

Callers got a status 000 as an endpoint's answer, and as well 099, 600 and 999, or 101 without having asked for another protocol.

Cause: any three digits of an endpoint's status line were taken as a status. A status below 100 or above 599 and an unasked 101 now count as a lost answer: the connection is closed, a request that may not be repeated gets 502, and another one goes to a second endpoint.

--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -246,6 +247,12 @@
     }
 }
 
+/// Whether a response may have this status. 101 switches to another protocol, which no request asks for.
+bool is_possible_status(unsigned int status) {
+    return status >= 100 && status < 600 &&
+           status != static_cast<unsigned int>(http::status::switching_protocols);
+}
+
 /// Reads until the response to this request arrives and discards responses to other requests.
 awaitable<exchange_result> read_response(const connection_ptr& connection, const exchange_request& request) {
     bool saw_stray = false;
@@ -257,6 +264,10 @@
         parser.skip(request.message.method() == http::verb::head);
         error_code ec;
         co_await read_head(connection, parser, ec);
+        if (!ec && !is_possible_status(parser.get().result_int())) {
+            co_return unanswered(exchange_outcome::lost,
+                                 fmt::format("impossible status {}", parser.get().result_int()));
+        }
         if (!ec && request.on_head) {
             request.on_head(parser.get().base());
         }
