The soak's endpoints name limits, and its store comes back from an older copy

Two endpoints name a limit for 9 to 14 s; a check counts what reached them from hosts that had passed on an answer with the limit, by the users' bound. The store keeps a copy and comes back from it 0.5 to 6 s later; the operator writes the configuration again. Both are drawn apart from the other faults, so that kept seeds repeat theirs.

--- a/source/soak/soak_checks.cpp
+++ b/source/soak/soak_checks.cpp
@@ -12,6 +12,13 @@
 
 namespace {
 
+// Users' bound on requests to an endpoint with a limit.
+constexpr std::int64_t limit_window_ms = 4000;
+constexpr std::int64_t stable_ms = 4000;
+constexpr std::int64_t told_before_ms = 500;
+constexpr double limit_factor = 1.5;
+constexpr double limit_slack = 5;
+
 using runs_by_id = std::map<std::string_view, std::vector<const run_record*>>;
 
 constexpr int status_ok = 200;
@@ -139,6 +146,71 @@
              fmt::format("team={} runs={} max={}", bound.team, max_in_window, bound.max_runs)}};
 }
 
+namespace {
+
+/// Requests that reached one endpoint while it named a limit, with the calls that they belong to.
+struct limited_arrival {
+    run_record arrival;
+    const call_record* call{nullptr};
+};
+
+/// Whether the host of the arrival was told of the limit in time, and nothing excuses it.
+bool counts_against_limit(const limited_arrival& it, std::span<const limited_arrival> all,
+                          std::span<const host_disturbance> disturbances) {
+    std::int64_t undisturbed_from_ms = 0;
+    for (const auto& one : disturbances) {
+        if (one.host == it.call->host && one.from_ms <= it.arrival.at_ms) {
+            undisturbed_from_ms = std::max(undisturbed_from_ms, one.to_ms);
+        }
+    }
+    if (undisturbed_from_ms != 0 && it.arrival.at_ms < undisturbed_from_ms + stable_ms) {
+        return false;
+    }
+    return std::any_of(all.begin(), all.end(), [&](const limited_arrival& told) {
+        return told.call->host == it.call->host && told.call->status == status_ok &&
+               told.call->ended_ms >= undisturbed_from_ms &&
+               told.call->ended_ms + told_before_ms <= it.arrival.at_ms;
+    });
+}
+
+} // namespace
+
+std::vector<finding> check_limits(std::span<const run_record> arrivals, std::span<const call_record> calls,
+                                  std::span<const limit_period> limits,
+                                  std::span<const host_disturbance> disturbances) {
+    std::map<std::string_view, const call_record*> call_of;
+    for (const auto& it : calls) {
+        call_of[it.id] = &it;
+    }
+    std::vector<finding> findings;
+    for (const auto& limit : limits) {
+        std::vector<limited_arrival> all;
+        for (const auto& it : arrivals) {
+            const auto call = call_of.find(it.id);
+            if (it.endpoint == limit.endpoint && it.at_ms >= limit.from_ms && it.at_ms < limit.to_ms &&
+                call != call_of.end()) {
+                all.push_back({it, call->second});
+            }
+        }
+        std::vector<run_record> counted;
+        for (const auto& it : all) {
+            if (it.arrival.at_ms >= limit.from_ms + stable_ms &&
+                counts_against_limit(it, all, disturbances)) {
+                counted.push_back(it.arrival);
+            }
+        }
+        const auto most = most_runs_in_window(counted, limit_window_ms);
+        const double allowed =
+            limit_factor * limit.per_s * static_cast<double>(limit_window_ms) / 1000 + limit_slack;
+        if (static_cast<double>(most) > allowed) {
+            findings.push_back({"hosts together keep the limit that an endpoint names",
+                                fmt::format("{} limit={} requests={} allowed={}", limit.endpoint, limit.per_s,
+                                            most, allowed)});
+        }
+    }
+    return findings;
+}
+
 std::uint64_t read_counter(std::string_view text, std::string_view name) {
     const auto marker = fmt::format("lycheegap_{} ", name);
     for (auto at = text.find(marker); at != std::string_view::npos; at = text.find(marker, at + 1)) {
--- a/source/soak/soak_checks.h
+++ b/source/soak/soak_checks.h
@@ -64,6 +64,30 @@
 /// Checks that the hosts sent each other no more bytes of the store than versions of a large configuration
 /// call for.
 std::vector<finding> check_replicated_bytes(std::uint64_t bytes, std::uint64_t hosts, std::uint64_t versions);
+
+/// Time in which an endpoint named a limit and nothing disturbed it or the way to it.
+struct limit_period {
+    std::string endpoint;
+    /// Requests per second from all hosts together.
+    double per_s{0};
+    std::int64_t from_ms{0};
+    std::int64_t to_ms{0};
+};
+
+/// Time in which a host was down, paused or cut off. `host` is its request address.
+struct host_disturbance {
+    std::string host;
+    std::int64_t from_ms{0};
+    std::int64_t to_ms{0};
+};
+
+/// Checks that no endpoint got more than one and a half times what its limit allows, and five requests, in 4
+/// s that begin 4 s after it first named it. Requests count from hosts that had passed on such an answer half
+/// a second before, and were not disturbed within the 4 s before.
+std::vector<finding> check_limits(std::span<const run_record> arrivals, std::span<const call_record> calls,
+                                  std::span<const limit_period> limits,
+                                  std::span<const host_disturbance> disturbances);
+
 /// Checks that no window of time holds more runs of the team than the bound allows.
 std::vector<finding> check_rate(std::span<const run_record> runs, const rate_bound& bound);
 
--- a/source/soak/soak_faults.cpp
+++ b/source/soak/soak_faults.cpp
@@ -37,6 +37,8 @@
     fault_name{fault_kind::store_drops_history, "store_drops_history"},
     fault_name{fault_kind::change_configuration, "change_configuration"},
     fault_name{fault_kind::change_configuration_often, "change_configuration_often"},
+    fault_name{fault_kind::limit_endpoint, "limit_endpoint"},
+    fault_name{fault_kind::restore_store, "restore_store"},
 };
 
 // Time between the begins of successive faults, and the length of a fault.
@@ -45,6 +47,16 @@
 constexpr int min_length_ms = 100;
 constexpr int max_length_ms = 5000;
 constexpr milliseconds version_gap{330};
+// Begin and length of a limit: hosts have to keep it for 4 s windows that begin 4 s after the first answer
+// with it.
+constexpr int max_limit_begin_ms = 2000;
+constexpr int min_limit_length_ms = 9000;
+constexpr int max_limit_length_ms = 14'000;
+constexpr int limited_endpoints = 2;
+constexpr std::array limits_per_s = {0.5, 1.0, 2.5, 4.0, 8.0};
+// Age of the copy from which the store comes back.
+constexpr int min_copy_age_ms = 500;
+constexpr int max_copy_age_ms = 6000;
 
 bool targets_host(fault_kind kind) {
     return kind == fault_kind::kill_host || kind == fault_kind::stop_host || kind == fault_kind::pause_host ||
@@ -133,6 +145,10 @@
                          fmt::format("route={}&silence=1", fleet.endpoints[target].id));
         }
         break;
+    case fault_kind::limit_endpoint:
+        send_control(fleet, fleet.endpoints[target].address,
+                     active ? fmt::format("limit={}", fault.limit_per_s) : "limit=");
+        break;
     case fault_kind::delay_endpoint:
         send_control(fleet, fleet.link_control_address,
                      fmt::format("route={}&delay_ms={}", fleet.endpoints[target].id, active ? 150 : 0));
@@ -165,6 +181,12 @@
     case fault_kind::store_drops_history:
         send_control(fleet, store, active ? "drop_history=1" : "");
         break;
+    case fault_kind::restore_store:
+        send_control(fleet, store, active ? "keep_copy=1" : "restore=1");
+        if (!active) {
+            rewrite_configuration(fleet);
+        }
+        break;
     case fault_kind::change_configuration:
         if (active) {
             write_configuration(fleet, true);
@@ -182,6 +204,29 @@
     }
 }
 
+/// Appends limits of endpoints and a restore of the store. They are drawn apart from the other faults, which
+/// a seed that is kept for them repeats.
+void append_limits_and_restore(std::vector<planned_fault>& plan, std::uint64_t seed, const soak_size& size) {
+    std::mt19937_64 random(~seed);
+    const auto draw = [&](int min, int max) { return std::uniform_int_distribution<int>(min, max)(random); };
+    for (int n = 0; n < limited_endpoints; ++n) {
+        planned_fault limit{.kind = fault_kind::limit_endpoint};
+        limit.target = static_cast<std::size_t>(draw(0, static_cast<int>(size.endpoints) - 2));
+        limit.at = milliseconds{draw(0, max_limit_begin_ms)};
+        limit.length = milliseconds{draw(min_limit_length_ms, max_limit_length_ms)};
+        limit.limit_per_s =
+            limits_per_s[static_cast<std::size_t>(draw(0, static_cast<int>(limits_per_s.size()) - 1))];
+        const auto same = [&](const auto& it) { return it.kind == limit.kind && it.target == limit.target; };
+        if (std::none_of(plan.begin(), plan.end(), same)) {
+            plan.push_back(limit);
+        }
+    }
+    planned_fault restore{.kind = fault_kind::restore_store};
+    restore.at = milliseconds{draw(0, static_cast<int>(size.fault_phase_length.count()))};
+    restore.length = milliseconds{draw(min_copy_age_ms, max_copy_age_ms)};
+    plan.push_back(restore);
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind) {
@@ -198,6 +243,7 @@
     while (true) {
         at += milliseconds{draw(min_gap_ms, max_gap_ms)};
         if (at >= size.fault_phase_length) {
+            append_limits_and_restore(plan, seed, size);
             std::stable_sort(plan.begin(), plan.end(),
                              [](const auto& a, const auto& b) { return a.at < b.at; });
             return plan;
--- a/source/soak/soak_fleet.cpp
+++ b/source/soak/soak_fleet.cpp
@@ -241,11 +241,22 @@
     return fleet;
 }
 
+namespace {
+
+bool put_configuration(soak_fleet& fleet, int version, bool include_withdrawn_key) {
+    const auto text = configuration_text(version, include_withdrawn_key, fleet.unused_routes);
+    return status_of(send_request(fleet, fleet.store_address, "POST", "/operator", "key=op/config", text,
+                                  "")) == 200;
+}
+
+} // namespace
+
+void rewrite_configuration(soak_fleet& fleet) {
+    put_configuration(fleet, fleet.configuration_version, true);
+}
+
 bool write_configuration(soak_fleet& fleet, bool include_withdrawn_key) {
-    const auto text =
-        configuration_text(fleet.configuration_version + 1, include_withdrawn_key, fleet.unused_routes);
-    const bool accepted = status_of(send_request(fleet, fleet.store_address, "POST", "/operator",
-                                                 "key=op/config", text, "")) == 200;
+    const bool accepted = put_configuration(fleet, fleet.configuration_version + 1, include_withdrawn_key);
     fleet.configuration_version += accepted ? 1 : 0;
     return accepted;
 }
--- a/source/soak/soak_plan.h
+++ b/source/soak/soak_plan.h
@@ -52,8 +52,12 @@
     change_configuration,
     /// Writes versions of the configuration one after the other. Planned as faults of the kind above.
     change_configuration_often,
-    /// Number of the kinds above.
+    /// Number of the kinds above, which follow each other at random.
     count,
+    /// The endpoint names a limit in its answers.
+    limit_endpoint,
+    /// The store keeps a copy, and comes back from it at the end; the operator then writes again.
+    restore_store,
 };
 
 /// A fault with its target and its time.
@@ -64,6 +68,8 @@
     /// Begin, from the start of the load.
     common::milliseconds at{0};
     common::milliseconds length{0};
+    /// Requests per second that the endpoint takes from all hosts together; for `limit_endpoint`.
+    double limit_per_s{0};
 };
 
 /// Plans the faults of one seed, ordered by begin. They may overlap. The last host and the last endpoint are
--- a/source/soak/soak_run.cpp
+++ b/source/soak/soak_run.cpp
@@ -63,16 +63,86 @@
     }
 }
 
+template <typename Record>
+void append(std::vector<Record>& to, std::vector<Record> more) {
+    std::move(more.begin(), more.end(), std::back_inserter(to));
+}
+
 /// Runs in the logs of all endpoints.
 std::vector<run_record> all_runs(const soak_fleet& fleet) {
     std::vector<run_record> runs;
     for (const auto& it : fleet.endpoints) {
-        auto more = parse_runs(it.id, failure_tests::read_log(it.process));
-        std::move(more.begin(), more.end(), std::back_inserter(runs));
+        append(runs, parse_runs(it.id, failure_tests::read_log(it.process)));
     }
     return runs;
 }
 
+/// Requests that reached the endpoints.
+std::vector<run_record> all_arrivals(const soak_fleet& fleet) {
+    std::vector<run_record> arrivals;
+    for (const auto& it : fleet.endpoints) {
+        append(arrivals, parse_arrivals(it.id, failure_tests::read_log(it.process)));
+    }
+    return arrivals;
+}
+
+bool disturbs_host(fault_kind kind) {
+    return kind == fault_kind::kill_host || kind == fault_kind::stop_host || kind == fault_kind::pause_host ||
+           kind == fault_kind::cut_store;
+}
+
+bool disturbs_endpoint(fault_kind kind) {
+    return kind == fault_kind::pause_endpoint || kind == fault_kind::cut_endpoint ||
+           kind == fault_kind::silence_endpoint || kind == fault_kind::delay_endpoint;
+}
+
+/// The endpoint's process ends and starts anew, without a limit.
+bool restarts_endpoint(fault_kind kind) {
+    return kind == fault_kind::kill_endpoint || kind == fault_kind::drain_endpoint;
+}
+
+/// Periods of the planned limits, without the times in which the endpoint was disturbed.
+std::vector<limit_period> limit_periods(const soak_fleet& fleet, std::span<const planned_fault> plan,
+                                        std::int64_t begin_ms) {
+    std::vector<limit_period> periods;
+    for (const auto& it : plan) {
+        if (it.kind != fault_kind::limit_endpoint) {
+            continue;
+        }
+        const auto from_ms = begin_ms + it.at.count();
+        limit_period period{fleet.endpoints[it.target].id, it.limit_per_s, from_ms,
+                            from_ms + it.length.count()};
+        const auto end_ms = period.to_ms;
+        // The plan is ordered by begin.
+        for (const auto& other : plan) {
+            const auto other_ms = begin_ms + other.at.count();
+            if (other.target != it.target || other_ms + other.length.count() <= period.from_ms ||
+                other_ms >= period.to_ms ||
+                !(restarts_endpoint(other.kind) || disturbs_endpoint(other.kind))) {
+                continue;
+            }
+            period.to_ms = other_ms;
+            periods.push_back(period);
+            period.from_ms = restarts_endpoint(other.kind) ? end_ms : other_ms + other.length.count();
+            period.to_ms = end_ms;
+        }
+        periods.push_back(period);
+    }
+    return periods;
+}
+
+std::vector<host_disturbance> host_disturbances(const soak_fleet& fleet, std::span<const planned_fault> plan,
+                                                std::int64_t begin_ms) {
+    std::vector<host_disturbance> found;
+    for (const auto& it : plan) {
+        if (disturbs_host(it.kind)) {
+            const auto from_ms = begin_ms + it.at.count();
+            found.push_back({fleet.hosts[it.target].request_address, from_ms, from_ms + it.length.count()});
+        }
+    }
+    return found;
+}
+
 /// Withdraws a key and checks that it stops working on every host while the other key of its team keeps
 /// working.
 void check_key_withdrawal(soak_fleet& fleet, std::vector<finding>& findings) {
@@ -123,10 +193,6 @@
     }
 }
 
-void append(std::vector<finding>& to, std::vector<finding> more) {
-    std::move(more.begin(), more.end(), std::back_inserter(to));
-}
-
 std::vector<finding> check_replication(soak_fleet& fleet) {
     std::uint64_t bytes = 0;
     for (const auto& it : fleet.hosts) {
@@ -165,12 +231,16 @@
     result.started = true;
     result.folder = fleet->folder;
     soak_callers callers(*fleet, size.callers, seed);
+    const auto begin_ms = common::unix_milliseconds();
     inject_faults(*fleet, result.faults);
     check_after_faults(*fleet, callers, result.findings);
     const auto calls = callers.stop();
     const auto runs = all_runs(*fleet);
     append(result.findings, check_calls(calls, runs));
     append(result.findings, check_replication(*fleet));
+    append(result.findings,
+           check_limits(all_arrivals(*fleet), calls, limit_periods(*fleet, result.faults, begin_ms),
+                        host_disturbances(*fleet, result.faults, begin_ms)));
     const double max_runs =
         (limited_rate_per_s * 5 + limited_burst_requests) * rate_tolerance_factor + rate_tolerance_requests;
     append(result.findings, check_rate(runs, {team_name(0), rate_window_ms, max_runs}));
