The soak withdraws a key after the store has come back from an older copy

A hundred writes are lost, so that the store's numbers don't pass the old ones before the check ends.

--- a/source/soak/soak_fleet.cpp
+++ b/source/soak/soak_fleet.cpp
@@ -255,6 +255,10 @@
     put_configuration(fleet, fleet.configuration_version, true);
 }
 
+void write_note(soak_fleet& fleet) {
+    send_request(fleet, fleet.store_address, "POST", "/operator", "key=notes/soak", "note", "");
+}
+
 bool write_configuration(soak_fleet& fleet, bool include_withdrawn_key) {
     const bool accepted = put_configuration(fleet, fleet.configuration_version + 1, include_withdrawn_key);
     fleet.configuration_version += accepted ? 1 : 0;
--- a/source/soak/soak_fleet.h
+++ b/source/soak/soak_fleet.h
@@ -82,6 +82,8 @@
 bool write_configuration(soak_fleet& fleet, bool include_withdrawn_key);
 /// Writes the last configuration again, as the operator does after the store has lost it.
 void rewrite_configuration(soak_fleet& fleet);
+/// Writes a key to the store that hosts have no use for.
+void write_note(soak_fleet& fleet);
 /// Sends a query to the /control path of a stand-in.
 void send_control(soak_fleet& fleet, const std::string& address, const std::string& query);
 /// Bytes of the answers about the store that a host has sent to the others since its start; 0 if it does not
--- a/source/unit_tests/gateway/limit_notices_test.cpp
+++ b/source/unit_tests/gateway/limit_notices_test.cpp
@@ -26,7 +26,6 @@
     gateway_options options;
     options.host = "here";
     options.headers = test_options().headers;
-    options.headers.limit = "Limit";
     auto state = std::make_unique<gateway_state>(std::move(options));
     apply_endpoint(*state, entry_with_id("e1"));
     return state;
@@ -40,7 +39,7 @@
     http::response_header<> head;
     head.result(status);
     if (!limit.empty()) {
-        head.set("Limit", limit);
+        head.set("x-limit", limit);
     }
     return head;
 }
--- a/source/unit_tests/gateway/test_host.cpp
+++ b/source/unit_tests/gateway/test_host.cpp
@@ -32,7 +32,8 @@
     made.region = "coast";
     made.domain = "coast-1";
     made.request_address = "127.0.0.1:0";
-    made.headers = {"x-id", "x-wait", "object", "x-team", "x-target", "x-load", "x-not-run", "x-leaving"};
+    made.headers = {"x-id",   "x-wait",    "object",    "x-team", "x-target",
+                    "x-load", "x-not-run", "x-leaving", "x-limit"};
     made.retries = {.ratio = 0.2, .slack = 100};
     made.stop_time = milliseconds(1500);
     return made;
