After a restore, removals and new orders are told from those before it

Found by reading the change of revisions, before any caller met it: - a removal that followed a known one was no longer passed on, so that a host that had seen the item added in between kept it (a test says so now); - an order to vacate that was given anew after a restore, as before it, was taken for the one of the copy and ignored, at any later time.

--- a/source/core/gateway/state_mirror.cpp
+++ b/source/core/gateway/state_mirror.cpp
@@ -15,12 +15,19 @@
 
 // Tombstones kept. When there are more, all are dropped, and hosts that are behind get a snapshot.
 constexpr std::size_t max_tombstones = 2000;
+// Within this time after a restore, a removal is taken for a loss.
+constexpr common::milliseconds settling_time{10'000};
 
 /// Whether the two were read from the store before and after it came back from an older copy.
 bool is_restored_since(const mirror_item& known, std::uint64_t revision) {
     return common::era_of(known.revision) < common::era_of(revision);
 }
 
+/// Whether the store came back from an older copy so lately that what it lacks may still be written again.
+bool is_settling(const state_mirror& mirror) {
+    return mirror.restored_at && monotonic::now() < *mirror.restored_at + settling_time;
+}
+
 /// Whether the known item stays, since the store's one is older and came back with a copy. A kept value stays
 /// until the store has a later one; a kept removal only until the store says anything of the key.
 bool is_kept_over(const state_mirror& mirror, const mirror_item& known, const mirror_item& item) {
@@ -39,7 +46,7 @@
 /// Whether the item only moves the revision of the known one on.
 bool is_refreshed_by(const state_mirror& mirror, const mirror_item& known, const mirror_item& item) {
     if (known.removed || item.removed) {
-        return known.removed && item.removed;
+        return false;
     }
     const bool is_same = known.value == item.value && known.lease == item.lease;
     return (is_same && is_restored_since(known, item.revision)) ||
@@ -69,7 +76,7 @@
         }
         if (item.removed) {
             item.value = known->second.value;
-            item.lost = is_restored_since(known->second, item.revision);
+            item.lost = is_restored_since(known->second, item.revision) && is_settling(mirror);
         }
     }
     item.change_revision = item.revision;
--- a/source/unit_tests/gateway/state_mirror_test.cpp
+++ b/source/unit_tests/gateway/state_mirror_test.cpp
@@ -137,4 +137,21 @@
     CHECK(publish_update(table, update(7, {{"a", "up", 7, 0, false}})).size() == 1);
 }
 
+// Guards against hosts that keep an item since this one knew it as removed when it was added and removed
+// again.
+TEST_CASE("a removal is passed on again when the item was added and removed between two reads") {
+    state_mirror mirror;
+    mirror_update first;
+    first.revision = 10;
+    first.is_snapshot = true;
+    merge_update(mirror, first);
+    for (const std::uint64_t revision : {20U, 30U}) {
+        mirror_update removal;
+        removal.revision = revision;
+        removal.items = {{"key", {}, revision, 0, true}};
+        CHECK(merge_update(mirror, removal).size() == 1);
+    }
+    CHECK(changes_since(mirror, 25).items.size() == 1);
+}
+
 } // namespace lycheegap::gateway
--- a/source/unit_tests/platform/restored_store_test.cpp
+++ b/source/unit_tests/platform/restored_store_test.cpp
@@ -149,6 +149,21 @@
     }));
 }
 
+// Guards against an order that is taken for the one that had ended before the restore.
+TEST_CASE("a domain that was vacated before the restore can be vacated again after it") {
+    in_process_fleet fleet(3);
+    stand_ins::put_item(fleet.store, "op/evacuate/north", "{}");
+    put_configuration(fleet, 1);
+    REQUIRE(all_hosts_within(fleet, start_limit_ms, [](const auto& it) { return is_vacated(it, "north"); }));
+    stand_ins::remove_item(fleet.store, "op/evacuate/north");
+    REQUIRE(all_hosts_within(fleet, apply_limit_ms, [](const auto& it) { return !is_vacated(it, "north"); }));
+    start_with_copy(fleet);
+    write_beyond_copy(fleet);
+    restore(fleet);
+    stand_ins::put_item(fleet.store, "op/evacuate/north", "{}");
+    CHECK(all_hosts_within(fleet, apply_limit_ms, [](const auto& it) { return is_vacated(it, "north"); }));
+}
+
 // Guards against requests to a domain that is being vacated, because the copy lacks the order.
 TEST_CASE("a vacated domain stays vacated until the operator could write the order again") {
     in_process_fleet fleet(3);
