Tokens of a limit are looked at before the hosts are ranked

Ranking hashes each host of the fleet, for each endpoint with a limit and each request: with a whole service in need, 741 endpoints and 295 hosts, 219,000 hashes a request. Now only when this host has a token.

--- a/source/core/traffic/endpoint_limit.cpp
+++ b/source/core/traffic/endpoint_limit.cpp
@@ -116,12 +116,18 @@
     if (!limit.per_second) {
         return true;
     }
+    // The tokens are looked at first: whether this host has a share takes a hash for each host of the fleet,
+    // and is asked for each endpoint and request.
+    if (!has_token(limit.tokens, share_of(*limit.per_second, hosts_of(knowledge)), now)) {
+        return false;
+    }
     if (!has_share(knowledge, endpoint_id, sharing_hosts_for(*limit.per_second), now)) {
-        // A share that this host gets later starts empty: the host that had it before may have used it.
+        // A share that this host gets later starts almost empty: the host that had it before may have used
+        // it.
         limit.tokens = {0, now};
         return asks_again(limit, knowledge, endpoint_id, now);
     }
-    return has_token(limit.tokens, share_of(*limit.per_second, hosts_of(knowledge)), now);
+    return true;
 }
 
 void count_limited_request(endpoint_limit& limit, const membership_knowledge& knowledge,
