A request that is withheld is no failure of its endpoint

Requests that were placed before an endpoint named its limit, began to rest or said that it leaves are withheld when they are to be written. They counted as failed attempts, so that the endpoint was avoided for up to 4 s by the few hosts that may use it.

--- a/source/core/gateway/attempt.cpp
+++ b/source/core/gateway/attempt.cpp
@@ -150,7 +150,8 @@
     if (result.outcome == attempt_outcome::answered) {
         traffic::note_success(endpoint);
     } else if (lost_while_silent ||
-               (outcome != exchange_outcome::cancelled && outcome != exchange_outcome::timed_out)) {
+               (outcome != exchange_outcome::cancelled && outcome != exchange_outcome::timed_out &&
+                result.ended_by != exchange_end::withheld)) {
         traffic::note_failure(endpoint, now);
     }
 }
