An item under a key that is not text hides no other

What callers saw: a host could read nothing from the store, so that it had no configuration and served nothing, or learned of no change any more.

Cause: a key of the store is bytes, JSON is text. One key with bytes that are not valid UTF-8, a raw control byte or a lone surrogate made the JSON of a whole page unreadable ("store response lacks revision or items"), by ranges, watches and the state that a refused write returns alike.

The store's stand-in writes bytes that are not valid UTF-8 into its responses now; it answered 500 before.

--- a/source/stand_ins/platform_store.cpp
+++ b/source/stand_ins/platform_store.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <vector>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "platform/decode.h"
@@ -37,15 +38,34 @@
     return transport::json_response(status, body.dump());
 }
 
-json to_json(const platform_item& it) {
+/// A key as a JSON string. Bytes that are not valid UTF-8 are written as they are.
+std::string key_text(std::string_view key) {
+    std::string text;
+    for (const char c : key) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte < 0x20) {
+            text += fmt::format("\\u{:04x}", byte);
+        } else {
+            text += c == '"' || c == '\\' ? std::string{'\\', c} : std::string{c};
+        }
+    }
+    return fmt::format("\"{}\"", text);
+}
+
+std::string item_text(const platform_item& it) {
     if (it.removed) {
-        return {{"key", it.key}, {"revision", it.revision}, {"tombstone", true}};
+        return fmt::format(R"({{"key":{},"revision":{},"tombstone":true}})", key_text(it.key), it.revision);
     }
-    return {{"key", it.key},
-            {"value", platform::to_base64(it.value)},
-            {"revision", it.revision},
-            {"create_rev", it.create_revision},
-            {"lease", it.lease}};
+    return fmt::format(R"({{"key":{},"value":"{}","revision":{},"create_rev":{},"lease":{}}})",
+                       key_text(it.key), platform::to_base64(it.value), it.revision, it.create_revision,
+                       it.lease);
+}
+
+/// Response with the items in the field `name`; `more` are further fields.
+http_response items_response(int status, std::string_view name, const std::vector<std::string>& items,
+                             std::string_view more = "") {
+    return transport::json_response(status,
+                                    fmt::format(R"({{"{}":[{}]{}}})", name, fmt::join(items, ","), more));
 }
 
 /// Applies a change under a new revision and adds it to the history; the caller holds the lock.
@@ -114,7 +134,7 @@
 http_response read_range(platform_store& store, std::string_view query) {
     const auto prefix = query_parameter(query, "prefix");
     const auto after = query_parameter(query, "after");
-    json found = json::array();
+    std::vector<std::string> found;
     bool more = false;
     for (const auto& [key, it] : store.items) {
         if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
@@ -124,16 +144,18 @@
         if (more) {
             break;
         }
-        found.push_back(to_json(it));
+        found.push_back(item_text(it));
     }
-    return make_json_response(200, {{"items", found}, {"has_more", more}, {"at_rev", store.revision}});
+    return items_response(200, "items", found,
+                          fmt::format(R"(,"has_more":{},"at_rev":{})", more, store.revision));
 }
 
-json events_after(const platform_store& store, std::string_view prefix, std::uint64_t after) {
-    json events = json::array();
+std::vector<std::string> events_after(const platform_store& store, std::string_view prefix,
+                                      std::uint64_t after) {
+    std::vector<std::string> events;
     for (const auto& it : store.history) {
         if (it.revision > after && it.key.starts_with(prefix)) {
-            events.push_back(to_json(it));
+            events.push_back(item_text(it));
         }
     }
     return events;
@@ -151,9 +173,9 @@
             return {status_gone, {}, {}};
         }
         const auto events =
-            store.faults.suppresses_events ? json::array() : events_after(store, prefix, after);
+            store.faults.suppresses_events ? std::vector<std::string>() : events_after(store, prefix, after);
         if (!events.empty() || monotonic::now() >= deadline) {
-            return make_json_response(200, {{"events", events}, {"at_rev", store.revision}});
+            return items_response(200, "events", events, fmt::format(R"(,"at_rev":{})", store.revision));
         }
         store.changed.wait_until(guard, std::min(deadline, next_expiry(store)));
     }
@@ -167,12 +189,12 @@
 }
 
 /// The items named by the conditions of a transaction, as they are; keys that do not exist are left out.
-json current_items(const platform_store& store, const json& conditions) {
-    json items = json::array();
+std::vector<std::string> current_items(const platform_store& store, const json& conditions) {
+    std::vector<std::string> items;
     for (const auto& it : conditions) {
         const auto found = store.items.find(it.at("key").get<std::string>());
         if (found != store.items.end()) {
-            items.push_back(to_json(found->second));
+            items.push_back(item_text(found->second));
         }
     }
     return items;
@@ -187,8 +209,8 @@
 http_response run_transaction(platform_store& store, const json& body) {
     for (const auto& it : body.value("expected", json::array())) {
         if (revision_of(store, it.at("key")) != it.at("revision").get<std::uint64_t>()) {
-            return make_json_response(status_precondition_failed,
-                                      {{"items", current_items(store, body.at("expected"))}});
+            return items_response(status_precondition_failed, "items",
+                                  current_items(store, body.at("expected")));
         }
     }
     const auto writes = body.value("writes", json::array());
--- a/source/unit_tests/platform/decode_test.cpp
+++ b/source/unit_tests/platform/decode_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/decode.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 namespace lycheegap::platform {
 
@@ -179,6 +180,49 @@
     CHECK_FALSE(from_base64("*"));
 }
 
+// Guards against one odd key that makes the JSON of a whole response unreadable.
+TEST_CASE("an item under a key that is not text hides no other") {
+    struct odd_key {
+        std::string_view in_json;
+        std::string_view bytes;
+    };
+
+    using namespace std::string_view_literals;
+    const auto keys = {odd_key{"m\xff", "m\xff"},
+                       odd_key{"m\xc3\xa9\xc3", "m\xc3\xa9\xc3"},
+                       odd_key{"m\x01\n\0z"sv, "m\x01\n\0z"sv},
+                       odd_key{"\\ud800", "\xed\xa0\x80"},
+                       odd_key{"\\udc00\\ud800\\u00e9", "\xed\xb0\x80\xed\xa0\x80\xc3\xa9"},
+                       odd_key{"\xff\\ud83d\\ude00\\u0041\\u0001", "\xff\xf0\x9f\x98\x80"
+                                                                   "A\x01"},
+                       odd_key{"\\x\\u12g4\\\"\\\\\\n", "\\x\\u12g4\"\\\n"}};
+    for (const auto& it : keys) {
+        CAPTURE(it.in_json);
+        const auto items = fmt::format(
+            R"([{{"key":"servers/\u00e9","value":"YQ==","revision":7}},)"
+            R"({{"key":"{}","value":"Yg==","revision":8}},{{"key":"z","tombstone":true,"revision":9}}])",
+            it.in_json);
+        for (const auto* list : {"items", "events"}) {
+            const auto page =
+                decode_page(fmt::format(R"({{"{}":{},"has_more":true,"at_rev":9}})", list, items));
+            REQUIRE(page);
+            REQUIRE(page->items.size() == 3);
+            CHECK(page->has_more);
+            CHECK(page->items[0].key == "servers/\xc3\xa9");
+            CHECK(page->items[0].value == "a");
+            CHECK(page->items[1].key == it.bytes);
+            CHECK(page->items[1].value == "b");
+            CHECK(page->items[1].revision == 8);
+            CHECK(page->items[2].key == "z");
+            CHECK(page->items[2].removed);
+        }
+        // The state that a refused write returns.
+        const auto current = decode_items(fmt::format(R"({{"items":{}}})", items));
+        REQUIRE(current);
+        CHECK(current->size() == 3);
+    }
+}
+
 TEST_CASE("a host's entry is decoded as it was encoded") {
     traffic::fleet_member member;
     member.name = "host-1";
