Keys are percent-encoded in queries

What callers saw: after a restart of all hosts beside an entry of another writer, almost no request was served.

Cause: the key after which the next page of a range begins was put into the query as it was. With a "&", "+", "#", "%", a blank, a control byte or a letter outside ASCII in it the store read another key, or refused the call. The full read of a list that takes more than one page failed or went on elsewhere, and without it a host has no configuration.

Evidence: "a range goes on after a key with any byte ..." asks the stand-in of the store for one key after the other; on the code before the pages began at another key.

The check that should have seen it: the stand-in compared the raw query with the raw key, so that both were wrong together. It decodes now, and refuses a query that is not percent-encoded with 400. Its pages can be made small.

The fuzz check of look-up queries demanded that a value has no "&" and is part of the query. That is wrong of a decoded value. Instead the value must equal that of an independent decoder, for every input.

--- a/source/core/execution/caller_key.cpp
+++ b/source/core/execution/caller_key.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "core/common/percent_encoding.h"
+
 namespace lycheegap::execution {
 
 namespace {
@@ -15,30 +17,6 @@
     return text;
 }
 
-int hex_digit(char c) {
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    const int lower = std::tolower(static_cast<unsigned char>(c));
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-std::string percent_decoded(std::string_view text) {
-    std::string out;
-    for (std::size_t n = 0; n < text.size(); ++n) {
-        const bool is_escape = text[n] == '%' && n + 2 < text.size();
-        const int high = is_escape ? hex_digit(text[n + 1]) : -1;
-        const int low = is_escape ? hex_digit(text[n + 2]) : -1;
-        if (high < 0 || low < 0) {
-            out += text[n];
-            continue;
-        }
-        out += static_cast<char>(high * 16 + low);
-        n += 2;
-    }
-    return out;
-}
-
 /// Removes the assignments to `name` from text of the form a=1<separator>b=2 and stores the value of the
 /// first in `value` unless it has one. Text without such an assignment is returned unchanged.
 std::string remove_parameter(std::string_view text, std::string_view separators, std::string_view name,
@@ -56,9 +34,10 @@
         text.remove_prefix(std::min(end + 1, text.size()));
         const auto equals = std::min(parameter.find('='), parameter.size());
         // Endpoints decode names too, so a key under a percent-encoded name must be found as well.
-        if (equals_ignoring_case(percent_decoded(trimmed(parameter.substr(0, equals))), name)) {
+        if (equals_ignoring_case(common::percent_decode(trimmed(parameter.substr(0, equals))), name)) {
             if (!value) {
-                value = percent_decoded(trimmed(parameter.substr(std::min(equals + 1, parameter.size()))));
+                value =
+                    common::percent_decode(trimmed(parameter.substr(std::min(equals + 1, parameter.size()))));
             }
             found = true;
             continue;
@@ -110,7 +89,7 @@
     if (!equals_ignoring_case(it.name, "referer")) {
         return false;
     }
-    auto text = percent_decoded(it.value);
+    auto text = common::percent_decode(it.value);
     std::transform(text.begin(), text.end(), text.begin(),
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
     return text.find(key_parameter) != std::string::npos;
--- a/source/core/transport/http_message.cpp
+++ b/source/core/transport/http_message.cpp
@@ -1,16 +1,22 @@
 #include "http_message.h"
 
+#include <algorithm>
 #include <charconv>
 
+#include "core/common/percent_encoding.h"
+
 namespace lycheegap::transport {
 
-std::string_view query_parameter(std::string_view query, std::string_view name) {
+std::string query_parameter(std::string_view query, std::string_view name) {
     while (!query.empty()) {
         const auto end = std::min(query.find('&'), query.size());
         const auto parameter = query.substr(0, end);
         query.remove_prefix(std::min(end + 1, query.size()));
         if (parameter.starts_with(name) && parameter.substr(name.size()).starts_with('=')) {
-            return parameter.substr(name.size() + 1);
+            std::string value(parameter.substr(name.size() + 1));
+            std::replace(value.begin(), value.end(), '+', ' ');
+            // Look-ups are frequent, and escapes in them are rare.
+            return value.find('%') == std::string::npos ? value : common::percent_decode(value);
         }
     }
     return {};
--- a/source/core/transport/http_message.h
+++ b/source/core/transport/http_message.h
@@ -27,8 +27,9 @@
     std::string body;
 };
 
-/// Value of the first query parameter called `name`, not percent-decoded; empty when it is absent.
-std::string_view query_parameter(std::string_view query, std::string_view name);
+/// Decoded value of the first query parameter called `name`; empty when it is absent. "+" is a blank, as in
+/// forms.
+std::string query_parameter(std::string_view query, std::string_view name);
 
 /// Views bytes as text, without a copy.
 std::string_view as_text(std::span<const std::byte> body);
--- a/source/core/transport/store_client.cpp
+++ b/source/core/transport/store_client.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "core/common/last_reason.h"
+#include "core/common/percent_encoding.h"
 
 namespace lycheegap::transport {
 
@@ -13,7 +14,7 @@
 constexpr int status_conflict = 409;
 
 std::string value_path(std::string_view key) {
-    return fmt::format("/v1/values/{}", key);
+    return fmt::format("/v1/values/{}", common::percent_encode(key, "/"));
 }
 
 http_result call_store(const store_client& store, execution::request_head head, std::string_view body,
--- a/source/fuzz_tests/request_head_test.cpp
+++ b/source/fuzz_tests/request_head_test.cpp
@@ -73,6 +73,20 @@
     }
 }
 
+/// Value after `assignment`, such as "a=", decoded as in a form. An independent implementation to check
+/// `query_parameter` against.
+std::string decoded_parameter(std::string_view query, std::string_view assignment) {
+    const auto text = "&" + std::string(query);
+    const auto at = text.find("&" + std::string(assignment));
+    if (at == std::string::npos) {
+        return {};
+    }
+    auto value = text.substr(at + 1 + assignment.size());
+    value.resize(std::min(value.find('&'), value.size()));
+    std::replace(value.begin(), value.end(), '+', ' ');
+    return percent_decode(value);
+}
+
 } // namespace
 
 TEST_CASE("fuzz: extract_key leaves no key in a request head") {
@@ -97,8 +111,7 @@
 TEST_CASE("fuzz: look-up queries") {
     run_fuzz("lookups", [](std::string_view input) {
         const auto region = transport::query_parameter(input, "region");
-        CHECK(region.find('&') == std::string_view::npos);
-        CHECK((region.empty() || input.find(region) != std::string_view::npos));
+        CHECK(region == decoded_parameter(input, "region="));
         transport::parse_uint_or(region, 0);
     });
 }
--- a/source/fuzz_tests/store_page_test.cpp
+++ b/source/fuzz_tests/store_page_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include "core/common/percent_encoding.h"
+#include "core/transport/http_message.h"
 #include "fuzz_input.h"
 #include "platform/decode.h"
 
@@ -38,6 +40,9 @@
         CHECK(page->items[1].key == input);
         CHECK(page->items[1].value == "b");
         CHECK(page->items[2].removed);
+        const auto query = "prefix=&after=" + common::percent_encode(input);
+        CHECK(common::is_valid_query(query));
+        CHECK(transport::query_parameter(query, "after") == input);
     });
 }
 
--- a/source/lycheegap_load/caller.cpp
+++ b/source/lycheegap_load/caller.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "core/common/last_reason.h"
+#include "core/common/percent_encoding.h"
 #include "core/schema/codec.h"
 #include "core/schema/generated/callers_generated.h"
 
@@ -24,7 +25,7 @@
     call.address = address;
     call.head.method = "GET";
     call.head.path = "/v1/lookup";
-    call.head.query = plan.region.empty() ? "" : "region=" + plan.region;
+    call.head.query = plan.region.empty() ? "" : "region=" + common::percent_encode(plan.region);
     call.deadline = monotonic::now() + lookup_timeout;
     const auto result = transport::call_http(connections, call);
     if (!result.response || result.response->status != 200) {
--- a/source/lycheegapctl/command.cpp
+++ b/source/lycheegapctl/command.cpp
@@ -6,6 +6,7 @@
 
 #include "core/common/digest.h"
 #include "core/common/last_reason.h"
+#include "core/common/percent_encoding.h"
 #include "core/schema/codec.h"
 
 namespace lycheegap::ctl {
@@ -96,6 +97,11 @@
     return {"/v1/catalog", "", "", view, kind, name_or_file};
 }
 
+command make_history_query(const std::string& kind, const std::string& name) {
+    auto query = "kind=" + kind + "&name=" + common::percent_encode(name);
+    return {"/v1/history", std::move(query), "", view_kind::raw, "", ""};
+}
+
 std::optional<command> parse_record_query(const std::vector<std::string>& arguments) {
     const auto& verb = arguments[1];
     if (arguments.size() == 2 && verb == "list") {
@@ -108,8 +114,7 @@
         return make_catalog_query(view_kind::diff, arguments[0], arguments[2]);
     }
     if (arguments.size() == 3 && verb == "history") {
-        return command{
-            "/v1/history", "kind=" + arguments[0] + "&name=" + arguments[2], "", view_kind::raw, "", ""};
+        return make_history_query(arguments[0], arguments[2]);
     }
     return std::nullopt;
 }
@@ -119,7 +124,7 @@
         return make_catalog_query(view_kind::keys, "team", arguments[2]);
     }
     if (arguments.size() == 3 && arguments[1] == "history") {
-        return command{"/v1/history", "kind=team&name=" + arguments[2], "", view_kind::raw, "", ""};
+        return make_history_query("team", arguments[2]);
     }
     return std::nullopt;
 }
@@ -135,7 +140,12 @@
         return command{"/v1/catalog", "", "", view_kind::raw, "", ""};
     }
     if (arguments.size() == 3 && arguments[0] == "edit" && arguments[1] == "status") {
-        return command{"/v1/edit/status", "revision=" + arguments[2], "", view_kind::raw, "", ""};
+        return command{"/v1/edit/status",
+                       "revision=" + common::percent_encode(arguments[2]),
+                       "",
+                       view_kind::raw,
+                       "",
+                       ""};
     }
     if (arguments.size() >= 2 && is_record_kind(arguments[0])) {
         return parse_record_query(arguments);
--- a/source/stand_ins/platform_store.cpp
+++ b/source/stand_ins/platform_store.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/common/percent_encoding.h"
 #include "platform/decode.h"
 
 namespace lycheegap::stand_ins {
@@ -23,12 +24,12 @@
 
 using store_lock = std::unique_lock<common::ranked_mutex>;
 
+constexpr int status_bad_request = 400;
 constexpr int status_forbidden = 403;
 constexpr int status_not_found = 404;
 constexpr int status_gone = 410;
 constexpr int status_precondition_failed = 412;
 constexpr int status_unavailable = 503;
-constexpr std::size_t items_per_page = 500;
 // Longer than any client timeout.
 constexpr milliseconds lost_answer_delay{6000};
 constexpr std::string_view lease_renew_prefix = "/api/kv-keep/";
@@ -140,7 +141,7 @@
         if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
             continue;
         }
-        more = found.size() == items_per_page;
+        more = found.size() == store.page_items;
         if (more) {
             break;
         }
@@ -341,11 +342,12 @@
     faults.leases_run = flag("leases_run", faults.leases_run);
     faults.loses_answers = flag("loses_answers", faults.loses_answers);
     faults.delay_ms = static_cast<int>(parse_uint_or(query_parameter(query, "delay_ms"), faults.delay_ms));
+    store.page_items = parse_uint_or(query_parameter(query, "page_items"), store.page_items);
     if (const auto ip = query_parameter(query, "refuse"); !ip.empty()) {
         faults.refused_ips.emplace(ip);
     }
     if (const auto ip = query_parameter(query, "accept"); !ip.empty()) {
-        faults.refused_ips.erase(std::string(ip));
+        faults.refused_ips.erase(ip);
     }
     if (flag("drop_history", false)) {
         store.compacted_revision = store.revision;
@@ -376,6 +378,9 @@
 } // namespace
 
 http_response serve_platform_store(platform_store& store, const http_request& request) {
+    if (!common::is_valid_query(request.head.query)) {
+        return {status_bad_request, {}, "the query is not percent-encoded\n"};
+    }
     if (request.head.path == "/control") {
         return serve_control(store, request.head.query);
     }
--- a/source/stand_ins/platform_store.h
+++ b/source/stand_ins/platform_store.h
@@ -69,15 +69,18 @@
     /// Rises each time that the store comes back from a copy. In the header Store-Era of all answers.
     std::uint64_t era{1};
     std::uint64_t next_lease{1};
+    /// Largest number of items in a response to a range read.
+    std::size_t page_items{500};
     platform_faults faults;
     std::uint64_t calls{0};
     bool stopping{false};
 };
 
-/// Handles one HTTP request: the platform's calls for ranges, watches, leases and transactions.
+/// Handles one HTTP request: the platform's calls for ranges, watches, leases and transactions. A query that
+/// is not percent-encoded gets 400.
 /// /operator?key= writes (POST) or removes (DELETE) a key.
-/// /control?outage=&leases_run=&loses_answers=&delay_ms=&refuse=&accept=&drop_history=&keep_copy=&restore=
-/// sets faults.
+/// /control?outage=&leases_run=&loses_answers=&delay_ms=&page_items=&refuse=&accept=&drop_history=&keep_copy=
+/// &restore= sets faults.
 transport::http_response serve_platform_store(platform_store& store, const transport::http_request& request);
 
 /// Writes a key, reserved ones included, as an operator or an endpoint does; returns the new revision.
