--- a/source/stand_ins/platform_store.cpp
+++ b/source/stand_ins/platform_store.cpp
@@ -134,7 +134,7 @@
 /// One page of the keys with a prefix, in key order after the key `after`.
 http_response read_range(platform_store& store, std::string_view query) {
     const auto prefix = query_parameter(query, "prefix");
-    const auto after = query_parameter(query, "after");
+    const auto after = store.faults.repeats_pages ? std::string() : query_parameter(query, "after");
     std::vector<std::string> found;
     bool more = false;
     for (const auto& [key, it] : store.items) {
--- a/source/stand_ins/platform_store.h
+++ b/source/stand_ins/platform_store.h
@@ -43,6 +43,8 @@
     bool suppresses_events{false};
     /// Calls take effect, but the responses come after the client timeout.
     bool loses_answers{false};
+    /// Range reads return the first page, whatever they ask for.
+    bool repeats_pages{false};
     /// Delay before every call.
     int delay_ms{0};
     /// Client IP addresses whose calls get status 503.
--- a/source/unit_tests/platform/odd_entries_test.cpp
+++ b/source/unit_tests/platform/odd_entries_test.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <array>
 #include <future>
+#include <mutex>
 #include <string>
+#include <thread>
 
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
@@ -61,6 +63,11 @@
     }));
 }
 
+std::uint64_t calls_of(stand_ins::platform_store& store) {
+    const std::lock_guard guard(store.mutex);
+    return store.calls;
+}
+
 /// Keys of the page that the store returns after `after`.
 std::vector<std::string> keys_after(std::string_view store_address, std::string_view prefix,
                                     std::string_view after) {
@@ -171,4 +178,22 @@
     }));
 }
 
+// Guards against a read without end, whose memory grows with each page.
+TEST_CASE("a store that repeats a page is read again after a pause only") {
+    // Two pages with each attempt, one attempt in 150 ms at most; the rest are calls about the host's lease.
+    constexpr std::uint64_t max_calls_per_s = 2 * 1000 / 150 + 10;
+    constexpr std::uint64_t seconds = 2;
+    in_process_fleet fleet(0);
+    fleet.store.page_items = 1;
+    put_endpoints(fleet);
+    stand_ins::put_item(fleet.store, "op/config", configuration_text(1));
+    stand_ins::set_faults(fleet.store, {.repeats_pages = true});
+    auto& host = fleet.add_host();
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    CHECK(calls_of(fleet.store) <= max_calls_per_s * seconds);
+    CHECK(configuration_version(host) == 0);
+    stand_ins::set_faults(fleet.store, {});
+    CHECK(holds_within(start_limit_ms, [&] { return configuration_version(host) == 1; }));
+}
+
 } // namespace lycheegap::platform
