An entry of hosts that names another host makes no member

Cause: members are kept under the key of their entry, but relays, neighbours and shares are determined from the name in it. An entry whose name is not that of its key was a member under two names; a relay was then looked up under one that no member has.

Evidence: "an entry of hosts that names another host makes no member" failed before with three members of two hosts. The undefined look-up is by reading (candidate_relays).

--- a/source/unit_tests/platform/odd_entries_test.cpp
+++ b/source/unit_tests/platform/odd_entries_test.cpp
@@ -178,6 +178,25 @@
     }));
 }
 
+// Guards against a relay that is looked up under a name that no member has.
+TEST_CASE("an entry of hosts that names another host makes no member") {
+    in_process_fleet fleet(2);
+    start_fleet(fleet);
+    traffic::fleet_member other;
+    other.name = "nowhere";
+    other.region = "coast";
+    other.domain = "north";
+    other.request_address = "127.0.0.1:1";
+    other.peer_address = "127.0.0.1:1";
+    stand_ins::put_item(fleet.store, "hosts/odd", encode_member(other));
+    put_endpoints(fleet);
+    REQUIRE(all_hosts_within(fleet, apply_limit_ms, &knows_endpoints));
+    CHECK(all_hosts_within(fleet, 0, [](const auto& it) { return member_count(it) == 2; }));
+    stand_ins::put_item(fleet.store, "op/config", configuration_text(2));
+    CHECK(all_hosts_within(fleet, apply_limit_ms,
+                           [](const auto& it) { return configuration_version(it) == 2; }));
+}
+
 // Guards against a read without end, whose memory grows with each page.
 TEST_CASE("a store that repeats a page is read again after a pause only") {
     // Two pages with each attempt, one attempt in 150 ms at most; the rest are calls about the host's lease.
