Log lines escape control bytes

Names from the store's entries are logged, also those of entries that are rejected. A carriage return or an escape byte in one could begin a line or control a terminal: only a line break was replaced. "format_line escapes control bytes" failed before.

--- a/source/core/common/log.cpp
+++ b/source/core/common/log.cpp
@@ -1,8 +1,10 @@
 #include "log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 
+#include <fmt/format.h>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -11,8 +13,28 @@
 
 namespace {
 
+bool is_control(char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < 0x20 || byte == 0x7f;
+}
+
 bool needs_quotes(std::string_view value) {
-    return value.empty() || value.find_first_of(" =\"\n\t") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" =\"") != std::string_view::npos ||
+           std::any_of(value.begin(), value.end(), &is_control);
+}
+
+/// Names from outside may hold control bytes, which must not reach a terminal or begin a line.
+void append_quoted(std::string& line, char c) {
+    if (c == '\n') {
+        line += ' ';
+    } else if (is_control(c) && c != '\t') {
+        line += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+    } else if (c == '"' || c == '\\') {
+        line += '\\';
+        line += c;
+    } else {
+        line += c;
+    }
 }
 
 void append_value(std::string& line, std::string_view value) {
@@ -22,10 +44,7 @@
     }
     line += '"';
     for (const char it : value) {
-        if (it == '"' || it == '\\') {
-            line += '\\';
-        }
-        line += it == '\n' ? ' ' : it;
+        append_quoted(line, it);
     }
     line += '"';
 }
--- a/source/core/common/log.h
+++ b/source/core/common/log.h
@@ -40,8 +40,9 @@
 /// Writes the queued lines and closes the log. Call it at the end of the process.
 void end_log();
 
-/// Logs one event as one line of key=value pairs. Values that are empty or contain a space, tab, line break,
-/// quote or equals sign are quoted.
+/// Logs one event as one line of key=value pairs. Values that are empty or contain a space, control byte,
+/// quote or equals sign are quoted; a line break becomes a blank, another control byte an escape as in
+/// "\x01".
 void log_debug(std::string_view event, log_fields fields);
 void log_info(std::string_view event, log_fields fields);
 void log_warning(std::string_view event, log_fields fields);
--- a/source/unit_tests/common/common_test.cpp
+++ b/source/unit_tests/common/common_test.cpp
@@ -20,6 +20,13 @@
     CHECK(format_line("x", {{"a", "b"}, {"c", "d e"}, {"f", "g\nh"}}) == "event=x a=b c=\"d e\" f=\"g h\"");
 }
 
+// Guards against names from outside that begin a line or control a terminal.
+TEST_CASE("format_line escapes control bytes") {
+    CHECK(format_line("x", {{"a", "b\rc"}}) == "event=x a=\"b\\x0dc\"");
+    CHECK(format_line("x", {{"a", "\x1b[2J\x7f\x01"}}) == "event=x a=\"\\x1b[2J\\x7f\\x01\"");
+    CHECK(format_line("x", {{"a", "b\tc"}, {"d", "\xc3\xa9"}}) == "event=x a=\"b\tc\" d=\xc3\xa9");
+}
+
 TEST_CASE("locks may be taken only in increasing order of rank") {
     CHECK(may_lock(lock_rank::catalog_table, lock_rank::membership_table));
     CHECK_FALSE(may_lock(lock_rank::membership_table, lock_rank::catalog_table));
