A response without a length is lost when its connection ends before the request was written

What callers saw: the first part of an answer as a complete one, with 200. An endpoint had answered a long upload at once without a length, and reset the connection while the upload was still written.

Cause: the end of the connection was taken for the end of the message. A body of more than 4096 bytes is written while the response is read. The reset's error went to the write, which took it from the socket; the read then saw an ordinary end, and that completes a response without a length.

Such a response counts only if its request was written whole and without an error: then no write is left that could have taken the reset's error. It is lost otherwise, as it may have run. Read and not affected: call_http demands a length or chunks, calls between hosts end with their stream.

--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -253,8 +253,15 @@
            status != static_cast<unsigned int>(http::status::switching_protocols);
 }
 
+/// Whether the end of the connection may have cut off the response. A reset while the request is written goes
+/// to the write, and the read then sees an ordinary end, which completes a response without a length.
+bool may_be_cut_off(const string_response_parser& parser, const request_write& write) {
+    return parser.need_eof() && (!write.done || write.ec);
+}
+
 /// Reads until the response to this request arrives and discards responses to other requests.
-awaitable<exchange_result> read_response(const connection_ptr& connection, const exchange_request& request) {
+awaitable<exchange_result> read_response(const connection_ptr& connection, const exchange_request& request,
+                                         const request_write& write) {
     bool saw_stray = false;
     for (int n = 0; n <= max_stray_responses; ++n) {
         string_response_parser parser;
@@ -281,6 +288,11 @@
             co_return unanswered(classify_error(*connection, ec), "read: " + ec.message(),
                                  end_of(*connection, ec));
         }
+        if (may_be_cut_off(parser, write)) {
+            co_return unanswered(exchange_outcome::lost,
+                                 "the connection ended a response without a length before the request was "
+                                 "written");
+        }
         const bool closes = parser.get().need_eof() || !parser.get().keep_alive();
         auto response = parser.release();
         if (response.result_int() < 200) {
@@ -350,7 +362,7 @@
         }
     }
     // After a failed write the socket may still hold a response that the endpoint sent before it closed.
-    auto result = co_await read_response(connection, *request);
+    auto result = co_await read_response(connection, *request, *write);
     if (!write->done || write->ec || !connection->reusable) {
         close(*connection);
     }
--- a/source/unit_tests/gateway/scripted_endpoint.cpp
+++ b/source/unit_tests/gateway/scripted_endpoint.cpp
@@ -44,10 +44,11 @@
                                    : head.substr(at + name.size(), head.find("\r\n", at) - at - name.size());
 }
 
-std::size_t length_of(const std::string& head) {
-    const std::string name = "Content-Length: ";
+std::size_t length_of(std::string_view head) {
+    constexpr std::string_view name = "Content-Length: ";
     const auto at = head.find(name);
-    return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
+    // The body may follow, which must not be copied at each read.
+    return at == std::string_view::npos ? 0 : std::stoul(std::string(head.substr(at + name.size(), 20)));
 }
 
 const std::string head_begin = "HTTP/1.1 200 OK\r\nx-id: @ID@\r\n";
@@ -108,7 +109,7 @@
     std::array<char, 4096> buf{};
     while (!stopping_) {
         const auto end = input.find("\r\n\r\n");
-        if (end != std::string::npos && input.size() >= end + 4 + length_of(input)) {
+        if (end != std::string::npos && (replies_early || input.size() >= end + 4 + length_of(input))) {
             const auto head = input.substr(0, end + 4);
             input.erase(0, end + 4 + length_of(head));
             if (!reply_to(fd, head)) {
@@ -153,6 +154,7 @@
             return false;
         }
     }
+    std::this_thread::sleep_for(std::chrono::milliseconds(reply.close_delay_ms));
     if (reply.reset) {
         close_with_reset(fd);
     }
--- a/source/unit_tests/gateway/scripted_endpoint.h
+++ b/source/unit_tests/gateway/scripted_endpoint.h
@@ -23,6 +23,8 @@
     int delay_ms{0};
     /// Sent again and again after `bytes`, until the other side closes.
     std::string endless{};
+    /// Pause between the reply and the close.
+    int close_delay_ms{0};
 };
 
 /// An HTTP endpoint for tests. A function of the request head determines each reply.
@@ -39,6 +41,8 @@
     /// Heads of all requests that arrived.
     std::vector<std::string> heads();
 
+    /// Replies when the head of a request has arrived, before its body is read.
+    std::atomic<bool> replies_early{false};
     /// Connections accepted so far.
     std::atomic<int> connections{0};
     /// Requests whose sender closed the connection before the reply.
