A response with an unknown transfer coding reaches no caller

What callers got: a body as far as a length said, under "Transfer-Encoding: gzip" or "identity", and the coded bytes of "gzip, chunked" as the body, since the field concerns one connection and is not passed on.

Cause: the parser takes the length when the coding is not "chunked", and reads the chunks of a list that ends with it. The coding goes before the length, and an unknown one can't be read (RFC 9112, 6.3).

Now only "chunked" alone is read, in any case; anything else is lost when the head has arrived.

--- a/source/core/gateway/endpoint_exchange.cpp
+++ b/source/core/gateway/endpoint_exchange.cpp
@@ -253,6 +253,14 @@
            status != static_cast<unsigned int>(http::status::switching_protocols);
 }
 
+/// Whether the body has a transfer coding that this host does not decode. No length in the head says where
+/// such a body ends (RFC 9112, 6.3).
+bool has_unknown_coding(const http::response_header<>& head) {
+    const auto fields = head.equal_range(http::field::transfer_encoding);
+    return std::any_of(fields.first, fields.second,
+                       [](const auto& it) { return !beast::iequals(it.value(), "chunked"); });
+}
+
 /// Whether the end of the connection may have cut off the response. A reset while the request is written goes
 /// to the write, and the read then sees an ordinary end, which completes a response without a length.
 bool may_be_cut_off(const string_response_parser& parser, const request_write& write) {
@@ -275,6 +283,9 @@
             co_return unanswered(exchange_outcome::lost,
                                  fmt::format("impossible status {}", parser.get().result_int()));
         }
+        if (!ec && has_unknown_coding(parser.get().base())) {
+            co_return unanswered(exchange_outcome::lost, "unknown transfer coding");
+        }
         if (!ec && request.on_head) {
             request.on_head(parser.get().base());
         }
--- a/source/unit_tests/gateway/malformed_response_test.cpp
+++ b/source/unit_tests/gateway/malformed_response_test.cpp
@@ -69,4 +69,29 @@
     }
 }
 
+// Guards against a length that is read as the end of a body whose coding is unknown.
+TEST_CASE("a response with an unknown transfer coding reaches no caller") {
+    answering_endpoint faulty;
+    for (const auto* coding :
+         {"gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "x"}) {
+        CAPTURE(coding);
+        const auto fields = {fmt::format("Transfer-Encoding: {}\r\n", coding),
+                             fmt::format("Transfer-Encoding: {}\r\nContent-Length: 4\r\n", coding),
+                             fmt::format("Content-Length: 4\r\nTransfer-Encoding: {}\r\n", coding)};
+        for (const auto& it : fields) {
+            CAPTURE(it);
+            CHECK(faulty.answer("HTTP/1.1 200 OK\r\nx-id: @ID@\r\n" + it + "\r\nbody")
+                      .starts_with("HTTP/1.1 502"));
+        }
+    }
+    for (const auto* coding : {"chunked", "Chunked", " chunked\t"}) {
+        CAPTURE(coding);
+        CHECK(faulty
+                  .answer(fmt::format("HTTP/1.1 200 OK\r\nx-id: @ID@\r\nTransfer-Encoding: {}\r\n\r\n"
+                                      "4\r\nbody\r\n0\r\n\r\n",
+                                      coding))
+                  .starts_with("HTTP/1.1 200"));
+    }
+}
+
 } // namespace lycheegap::gateway
