Soak: entries of another writer, uploads that are answered early

Each run writes entries with odd names into the list of endpoints, and ranges take several pages. At the quiet end a host starts beside them and must serve. One call in twenty uploads 600,000 bytes to an endpoint whose responses have no length; it cuts half of them off and resets the connection before it has read the request.

--- a/source/soak/soak_calls.cpp
+++ b/source/soak/soak_calls.cpp
@@ -20,6 +20,10 @@
 // Callers wait this much longer than the deadline that they send.
 constexpr milliseconds response_grace{500};
 constexpr int max_pause_ms = 25;
+// One of so many calls is an upload.
+constexpr int calls_per_upload = 20;
+// More than the buffers of a connection hold.
+constexpr std::size_t upload_bytes = 600'000;
 constexpr int status_ok = 200;
 
 /// State of one caller. Its connections stay open until the host closes them.
@@ -72,12 +76,15 @@
     call_record record;
     record.id = fmt::format("{:016x}", caller.random());
     record.team = team;
-    record.is_safe = caller.draw(0, 3) > 0;
+    record.is_upload = caller.draw(1, calls_per_upload) == 1;
+    record.is_safe = !record.is_upload && caller.draw(0, 3) > 0;
     record.host = host;
     const milliseconds deadline{caller.draw(min_deadline_ms, max_deadline_ms)};
-    auto call = make_call(host, record.is_safe ? "GET" : "POST",
-                          record.is_safe ? "/read/swell" : "/book/lesson", deadline + response_grace);
-    const std::string body = record.is_safe ? "" : "lesson at dawn";
+    const auto* path = record.is_upload ? "/upload/swell" : record.is_safe ? "/read/swell" : "/book/lesson";
+    auto call = make_call(host, record.is_safe ? "GET" : "POST", path, deadline + response_grace);
+    const auto body = record.is_upload ? std::string(upload_bytes, 'u')
+                      : record.is_safe ? ""
+                                       : "lesson at dawn";
     call.body = transport::as_bytes(body);
     call.head.headers = {{"Host", "soak.example"},
                          {"Lycheegap-Request-Id", record.id},
--- a/source/soak/soak_checks.h
+++ b/source/soak/soak_checks.h
@@ -15,6 +15,8 @@
     std::size_t team{0};
     /// Sent on a route of kind "safe"; others must run at most once.
     bool is_safe{true};
+    /// Sent to the endpoint that cuts off responses.
+    bool is_upload{false};
     std::string host;
     std::int64_t sent_ms{0};
     std::int64_t ended_ms{0};
--- a/source/soak/soak_faults.cpp
+++ b/source/soak/soak_faults.cpp
@@ -39,6 +39,7 @@
     fault_name{fault_kind::change_configuration_often, "change_configuration_often"},
     fault_name{fault_kind::limit_endpoint, "limit_endpoint"},
     fault_name{fault_kind::restore_store, "restore_store"},
+    fault_name{fault_kind::write_odd_entries, "write_odd_entries"},
 };
 
 // Time between the begins of successive faults, and the length of a fault.
@@ -192,6 +193,11 @@
             write_configuration(fleet, true);
         }
         break;
+    case fault_kind::write_odd_entries:
+        if (active) {
+            write_odd_entries(fleet);
+        }
+        break;
     default:
         break;
     }
@@ -204,9 +210,9 @@
     }
 }
 
-/// Appends limits of endpoints and a restore of the store. They are drawn apart from the other faults, which
-/// a seed that is kept for them repeats.
-void append_limits_and_restore(std::vector<planned_fault>& plan, std::uint64_t seed, const soak_size& size) {
+/// Appends limits of endpoints, a restore of the store and entries of another writer. They are drawn apart
+/// from the other faults, which a seed that is kept for them repeats.
+void append_faults_of_every_run(std::vector<planned_fault>& plan, std::uint64_t seed, const soak_size& size) {
     std::mt19937_64 random(~seed);
     const auto draw = [&](int min, int max) { return std::uniform_int_distribution<int>(min, max)(random); };
     for (int n = 0; n < limited_endpoints; ++n) {
@@ -225,6 +231,9 @@
     restore.at = milliseconds{draw(0, static_cast<int>(size.fault_phase_length.count()))};
     restore.length = milliseconds{draw(min_copy_age_ms, max_copy_age_ms)};
     plan.push_back(restore);
+    planned_fault odd_entries{.kind = fault_kind::write_odd_entries};
+    odd_entries.at = milliseconds{draw(0, static_cast<int>(size.fault_phase_length.count()))};
+    plan.push_back(odd_entries);
 }
 
 } // namespace
@@ -243,7 +252,7 @@
     while (true) {
         at += milliseconds{draw(min_gap_ms, max_gap_ms)};
         if (at >= size.fault_phase_length) {
-            append_limits_and_restore(plan, seed, size);
+            append_faults_of_every_run(plan, seed, size);
             std::stable_sort(plan.begin(), plan.end(),
                              [](const auto& a, const auto& b) { return a.at < b.at; });
             return plan;
--- a/source/soak/soak_fleet.cpp
+++ b/source/soak/soak_fleet.cpp
@@ -1,6 +1,7 @@
 #include "soak_fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iostream>
 
@@ -8,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/common/digest.h"
+#include "core/common/percent_encoding.h"
 #include "failure_tests/fleet.h"
 #include "soak_checks.h"
 
@@ -30,6 +32,12 @@
 constexpr int store_link_port = 7200;
 constexpr int endpoint_port = 7300;
 constexpr int endpoint_link_port = 7400;
+constexpr int uploads_port = 7500;
+// Items in a response to a range read, so that all of them take several.
+constexpr int page_items = 5;
+// Parts of names that a query or JSON may not carry as they are. More in a row than a page has items.
+constexpr std::array<std::string_view, 8> odd_parts = {"\x01", " ",    "#",        "%41",
+                                                       "&",    "&a=b", "\xc3\xa9", "\xff"};
 
 std::string zone_of(std::size_t n) {
     return fmt::format("zone-{}", n % 3 + 1);
@@ -78,6 +86,8 @@
         endpoint.link_address = fmt::format("{}.3:{}", fleet.network, endpoint_link_port + n);
         fleet.endpoints.push_back(std::move(endpoint));
     }
+    fleet.uploads.id = "uploads";
+    fleet.uploads.address = fmt::format("{}.2:{}", fleet.network, uploads_port);
 }
 
 /// Starts the link relay with a route from each host to the store and a route to each endpoint.
@@ -105,14 +115,14 @@
     return !fleet.store_address.empty();
 }
 
-json route_resource(std::string_view prefix, std::string_view kind) {
+json route_resource(std::string_view prefix, std::string_view kind, std::string_view service = "desk") {
     return {{"resource_kind", "routes"},
             {"metadata", {{"name", prefix}}},
             {"spec",
              {{"host", "soak.example"},
               {"prefix", prefix},
               {"kind", kind},
-              {"service", "desk"},
+              {"service", service},
               {"timeout_s", 3.0},
               {"target_latency_s", 0.5},
               {"max_attempts", 2},
@@ -141,7 +151,8 @@
 }
 
 std::string configuration_text(int version, bool include_withdrawn_key, std::size_t unused_routes) {
-    json resources = json::array({route_resource("/read/", "safe"), route_resource("/book/", "unsafe")});
+    json resources = json::array({route_resource("/read/", "safe"), route_resource("/book/", "unsafe"),
+                                  route_resource("/upload/", "unsafe", "archive")});
     for (std::size_t n = 0; n < team_count; ++n) {
         resources.push_back(team_resource(n, include_withdrawn_key));
     }
@@ -176,6 +187,21 @@
     return result.response ? result.response->status : 0;
 }
 
+/// Starts the endpoint of uploads and writes its entry, which no lease ends.
+bool start_uploads(soak_fleet& fleet) {
+    auto& it = fleet.uploads;
+    const std::vector<std::string> arguments = {"--id", it.id, "--address", it.address};
+    it.process = start_child("upload_endpoint_stand_in", arguments, log_file(fleet, it.id));
+    const json entry = {
+        {"address", it.address},
+        {"born", common::unix_milliseconds()},
+        {"info", {{"service", "archive"}, {"version", "v1"}, {"zone", zone_of(0)}, {"capacity", 64}}},
+        {"status", {{"state", "ready"}, {"sequence", 1}, {"cold_remaining_s", 0.0}}}};
+    const auto written = send_request(fleet, fleet.store_address, "POST", "/operator", "key=servers/" + it.id,
+                                      entry.dump(), "");
+    return !ready_address(it.process).empty() && status_of(written) == 200;
+}
+
 bool all_hosts_serve(soak_fleet& fleet) {
     return std::all_of(fleet.hosts.begin(), fleet.hosts.end(),
                        [&](const auto& it) { return serves(fleet, it, team_key(1)); });
@@ -190,6 +216,7 @@
     for (auto& it : endpoints) {
         failure_tests::kill_child(it.process);
     }
+    failure_tests::kill_child(uploads.process);
     failure_tests::kill_child(links);
     failure_tests::kill_child(store);
 }
@@ -223,10 +250,12 @@
     fleet->unused_routes = size.unused_routes;
     define_hosts(*fleet, size.hosts);
     define_endpoints(*fleet, size.endpoints);
-    if (fleet->folder.empty() || !start_store(*fleet) || !start_links(*fleet)) {
-        std::cerr << "the store or the link relay did not start, logs in " << fleet->folder << '\n';
+    if (fleet->folder.empty() || !start_store(*fleet) || !start_links(*fleet) || !start_uploads(*fleet)) {
+        std::cerr << "the store, the link relay or the endpoint of uploads did not start, logs in "
+                  << fleet->folder << '\n';
         return nullptr;
     }
+    send_control(*fleet, fleet->store_address, fmt::format("page_items={}", page_items));
     for (std::size_t n = 0; n < size.endpoints; ++n) {
         start_endpoint(*fleet, n);
     }
@@ -255,6 +284,14 @@
     put_configuration(fleet, fleet.configuration_version, true);
 }
 
+void write_odd_entries(soak_fleet& fleet) {
+    for (const auto part : odd_parts) {
+        const auto key = fmt::format("servers/m{}z", part);
+        send_request(fleet, fleet.store_address, "POST", "/operator", "key=" + common::percent_encode(key),
+                     "by another writer", "");
+    }
+}
+
 void write_note(soak_fleet& fleet) {
     send_request(fleet, fleet.store_address, "POST", "/operator", "key=notes/soak", "note", "");
 }
--- a/source/soak/soak_fleet.h
+++ b/source/soak/soak_fleet.h
@@ -54,6 +54,8 @@
     /// "ip:port" of the control listener of the link relay.
     std::string link_control_address;
     std::vector<soak_endpoint> endpoints;
+    /// Endpoint that responds to uploads without a length.
+    soak_endpoint uploads;
     std::vector<soak_host> hosts;
     transport::connection_pool connections;
     /// Version of the configuration written last; 0 before the first.
@@ -82,6 +84,8 @@
 bool write_configuration(soak_fleet& fleet, bool include_withdrawn_key);
 /// Writes the last configuration again, as the operator does after the store has lost it.
 void rewrite_configuration(soak_fleet& fleet);
+/// Writes entries with odd names, as another writer may, into the list of endpoints.
+void write_odd_entries(soak_fleet& fleet);
 /// Writes a key to the store that hosts have no use for.
 void write_note(soak_fleet& fleet);
 /// Sends a query to the /control path of a stand-in.
--- a/source/soak/soak_plan.h
+++ b/source/soak/soak_plan.h
@@ -58,6 +58,8 @@
     limit_endpoint,
     /// The store keeps a copy, and comes back from it at the end; the operator then writes again.
     restore_store,
+    /// Another writer puts entries with odd names into the list of endpoints, where they stay.
+    write_odd_entries,
 };
 
 /// A fault with its target and its time.
--- a/source/soak/soak_run.cpp
+++ b/source/soak/soak_run.cpp
@@ -74,6 +74,7 @@
     for (const auto& it : fleet.endpoints) {
         append(runs, parse_runs(it.id, failure_tests::read_log(it.process)));
     }
+    append(runs, parse_runs(fleet.uploads.id, failure_tests::read_log(fleet.uploads.process)));
     return runs;
 }
 
@@ -182,7 +183,7 @@
     std::size_t all = 0;
     std::size_t served = 0;
     for (const auto& it : calls) {
-        if (it.sent_ms >= since_ms && it.team != 0) {
+        if (it.sent_ms >= since_ms && it.team != 0 && !it.is_upload) {
             ++all;
             served += it.status == status_ok ? 1 : 0;
         }
@@ -216,6 +217,17 @@
     std::this_thread::sleep_for(stable_time);
 }
 
+/// Checks that a host that starts while another writer's entries stand in the list of endpoints serves.
+void check_start_beside_odd_entries(soak_fleet& fleet, std::vector<finding>& findings) {
+    write_odd_entries(fleet);
+    auto& host = fleet.hosts.front();
+    failure_tests::kill_child(host.process);
+    start_host(fleet, 0);
+    if (!failure_tests::wait_until(recovery_limit, [&] { return serves(fleet, host, team_key(1)); })) {
+        findings.push_back({"a host that starts beside odd entries serves", host.name});
+    }
+}
+
 /// Checks the guarantees that hold without faults: recovery, key withdrawal and draining. The key is
 /// withdrawn after the store has come back from an older copy.
 void check_after_faults(soak_fleet& fleet, soak_callers& callers, std::vector<finding>& findings) {
@@ -226,6 +238,7 @@
     if (!all_serve) {
         findings.push_back({"each host serves within the recovery time", fleet.folder});
     }
+    check_start_beside_odd_entries(fleet, findings);
     std::this_thread::sleep_for(stable_time);
     send_control(fleet, fleet.store_address, "keep_copy=1");
     const auto recovered_at_ms = common::unix_milliseconds();
