--- a/source/soak/soak_run.cpp
+++ b/source/soak/soak_run.cpp
@@ -203,20 +203,6 @@
                                   static_cast<std::uint64_t>(fleet.configuration_version));
 }
 
-/// Loses what was written since the copy, and waits until the store counts as stable. What was lost has more
-/// revisions than are given out again by the end of the checks.
-void restore_older_copy(soak_fleet& fleet) {
-    constexpr int lost_writes = 100;
-    for (int n = 0; n < lost_writes; ++n) {
-        write_note(fleet);
-    }
-    // Hosts have seen what will be lost.
-    std::this_thread::sleep_for(config_apply_limit);
-    send_control(fleet, fleet.store_address, "restore=1");
-    rewrite_configuration(fleet);
-    std::this_thread::sleep_for(stable_time);
-}
-
 /// Checks that a host that starts while another writer's entries stand in the list of endpoints serves.
 void check_start_beside_odd_entries(soak_fleet& fleet, std::vector<finding>& findings) {
     write_odd_entries(fleet);
@@ -228,6 +214,21 @@
     }
 }
 
+/// Loses what was written since the copy, and waits until the store counts as stable. What was lost has more
+/// revisions than are given out again by the end of the checks.
+void restore_older_copy(soak_fleet& fleet, std::vector<finding>& findings) {
+    constexpr int lost_writes = 100;
+    for (int n = 0; n < lost_writes; ++n) {
+        write_note(fleet);
+    }
+    const auto seen_by_hosts = monotonic::now() + config_apply_limit;
+    check_start_beside_odd_entries(fleet, findings);
+    std::this_thread::sleep_until(seen_by_hosts);
+    send_control(fleet, fleet.store_address, "restore=1");
+    rewrite_configuration(fleet);
+    std::this_thread::sleep_for(stable_time);
+}
+
 /// Checks the guarantees that hold without faults: recovery, key withdrawal and draining. The key is
 /// withdrawn after the store has come back from an older copy.
 void check_after_faults(soak_fleet& fleet, soak_callers& callers, std::vector<finding>& findings) {
@@ -238,13 +239,12 @@
     if (!all_serve) {
         findings.push_back({"each host serves within the recovery time", fleet.folder});
     }
-    check_start_beside_odd_entries(fleet, findings);
     std::this_thread::sleep_for(stable_time);
     send_control(fleet, fleet.store_address, "keep_copy=1");
     const auto recovered_at_ms = common::unix_milliseconds();
     std::this_thread::sleep_for(recovery_measurement);
     check_recovery(callers.records(), recovered_at_ms, findings);
-    restore_older_copy(fleet);
+    restore_older_copy(fleet, findings);
     check_key_withdrawal(fleet, findings);
     check_drain(fleet, findings);
 }
