--- a/source/core/common/percent_encoding.cpp
+++ b/source/core/common/percent_encoding.cpp
@@ -10,7 +10,7 @@
 constexpr std::string_view hex_digits = "0123456789ABCDEF";
 constexpr std::size_t escape_size = 3;
 
-// The functions of the standard library depend on the locale.
+// std::isalnum accepts more letters in some locales.
 bool is_letter_or_digit(char c) {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
 }
