Test of limits counts the runs of uploads; the test of a withdrawn key shows the response

The callers of the soak upload too, to an endpoint whose log the test of limits did not read: "when all endpoints name a limit ..." failed in a whole run with 200 responses without a run, all of them uploads. The check is as strict as before, with all logs.

The response is shown from now on.

--- a/source/failure_tests/endpoint_limit_test.cpp
+++ b/source/failure_tests/endpoint_limit_test.cpp
@@ -110,6 +110,9 @@
         auto more = soak::parse_runs(endpoint.id, read_log(endpoint.process));
         std::move(more.begin(), more.end(), std::back_inserter(runs));
     }
+    const auto& uploads = it.fleet->uploads;
+    auto uploaded = soak::parse_runs(uploads.id, read_log(uploads.process));
+    std::move(uploaded.begin(), uploaded.end(), std::back_inserter(runs));
     const auto findings = soak::check_calls(calls, runs);
     for (const auto& finding : findings) {
         MESSAGE(finding.guarantee << ": " << finding.detail);
--- a/source/failure_tests/key_withdrawal_test.cpp
+++ b/source/failure_tests/key_withdrawal_test.cpp
@@ -99,6 +99,7 @@
         const auto it = start_serving_fleet(false);
         std::string response;
         CHECK(measure_withdrawal(*it, 2, withdrawal_target * 2, response) <= withdrawal_target.count());
+        CAPTURE(response);
         CHECK(contains(response, "\"accepted\""));
         const auto add_key_again =
             R"({"key_team":"kite","add_key_digest":")" + common::key_digest("key-of-kite") + "\"}";
