--- a/source/unit_tests/platform/follow_store_test.cpp
+++ b/source/unit_tests/platform/follow_store_test.cpp
@@ -105,6 +105,34 @@
     CHECK(count_of(fleet, "relay_questions") - before <= max_questions_per_s * seconds * fleet.hosts.size());
 }
 
+// Guards against questions without a pause to a relay whose copy has changes beyond its revision, since the
+// store changed while the relay read it page by page.
+TEST_CASE("hosts ask a relay that read the store in pages a few times a second") {
+    // As in an outage of the store.
+    constexpr std::uint64_t max_questions_per_s = 5 * 4 + 3;
+    constexpr std::uint64_t seconds = 3;
+    in_process_fleet fleet(5);
+    wait_for_start(fleet);
+    {
+        const std::lock_guard guard(fleet.store.mutex);
+        fleet.store.page_items = 1;
+    }
+    // Watches do not confirm what the pages show.
+    stand_ins::set_faults(fleet.store, {.suppresses_events = true, .delay_ms = 60});
+    change_configuration(fleet, 2);
+    stand_ins::drop_history(fleet.store);
+    const auto before = count_of(fleet, "relay_questions");
+    for (int n = 0; n < 8; ++n) {
+        stand_ins::put_item(fleet.store, fmt::format("servers/z{}", n), endpoint_text());
+        std::this_thread::sleep_for(common::milliseconds(50));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(seconds - 1));
+    CHECK(count_of(fleet, "relay_questions") - before <= max_questions_per_s * seconds * fleet.hosts.size());
+    stand_ins::set_faults(fleet.store, {});
+    change_configuration(fleet, 3);
+    CHECK(all_hosts_within(fleet, apply_limit_ms, [](const auto& it) { return has_version(it, 3); }));
+}
+
 TEST_CASE("a configuration change reaches all hosts of a fleet with three relays in time") {
     in_process_fleet fleet(6);
     wait_for_start(fleet);
