--- a/source/stand_ins/platform_store.cpp
+++ b/source/stand_ins/platform_store.cpp
@@ -423,6 +423,11 @@
     restore_copy_with_lock_held(store);
 }
 
+void set_page_items(platform_store& store, std::size_t items) {
+    const std::lock_guard guard(store.mutex);
+    store.page_items = items;
+}
+
 void set_faults(platform_store& store, platform_faults faults) {
     const std::lock_guard guard(store.mutex);
     const bool outage = faults.outage;
--- a/source/stand_ins/platform_store.h
+++ b/source/stand_ins/platform_store.h
@@ -96,6 +96,8 @@
 /// Brings the contents back to the copy: later writes are gone, leases too, and their revisions are given out
 /// again.
 void restore_copy(platform_store& store);
+/// Sets the largest number of items in a response to a range read.
+void set_page_items(platform_store& store, std::size_t items);
 /// Replaces all faults. Ending an outage renews all leases unless the new faults set `leases_run`.
 void set_faults(platform_store& store, platform_faults faults);
 
--- a/source/unit_tests/platform/follow_store_test.cpp
+++ b/source/unit_tests/platform/follow_store_test.cpp
@@ -113,10 +113,7 @@
     constexpr std::uint64_t seconds = 3;
     in_process_fleet fleet(5);
     wait_for_start(fleet);
-    {
-        const std::lock_guard guard(fleet.store.mutex);
-        fleet.store.page_items = 1;
-    }
+    stand_ins::set_page_items(fleet.store, 1);
     // Watches do not confirm what the pages show.
     stand_ins::set_faults(fleet.store, {.suppresses_events = true, .delay_ms = 60});
     change_configuration(fleet, 2);
--- a/source/unit_tests/platform/odd_entries_test.cpp
+++ b/source/unit_tests/platform/odd_entries_test.cpp
@@ -95,7 +95,7 @@
     for (int byte = 0; byte < 256; ++byte) {
         stand_ins::put_item(store, fmt::format("servers/m{}z", static_cast<char>(byte)), "");
     }
-    store.page_items = 1;
+    stand_ins::set_page_items(store, 1);
     std::string after = "servers/";
     for (int byte = 0; byte < 256; ++byte) {
         CAPTURE(byte);
@@ -112,7 +112,7 @@
 TEST_CASE("hosts that start beside odd entries of endpoints get all others") {
     in_process_fleet fleet(0);
     // Each entry is the last of a page.
-    fleet.store.page_items = 1;
+    stand_ins::set_page_items(fleet.store, 1);
     put_odd_entries(fleet);
     put_endpoints(fleet);
     stand_ins::put_item(fleet.store, "op/config", configuration_text(1));
@@ -143,7 +143,7 @@
 
 TEST_CASE("changes beside odd entries reach all hosts after the store came back from an older copy") {
     in_process_fleet fleet(4);
-    fleet.store.page_items = 2;
+    stand_ins::set_page_items(fleet.store, 2);
     start_fleet(fleet);
     put_odd_entries(fleet);
     put_endpoints(fleet);
@@ -163,7 +163,7 @@
 
 TEST_CASE("odd keys beside those of operators and hosts change nothing for the others") {
     in_process_fleet fleet(3);
-    fleet.store.page_items = 1;
+    stand_ins::set_page_items(fleet.store, 1);
     start_fleet(fleet);
     for (const auto part : odd_parts) {
         for (const auto* prefix : {"hosts/", "op/", "op/evacuate/", ""}) {
@@ -203,7 +203,7 @@
     constexpr std::uint64_t max_calls_per_s = 2 * 1000 / 150 + 10;
     constexpr std::uint64_t seconds = 2;
     in_process_fleet fleet(0);
-    fleet.store.page_items = 1;
+    stand_ins::set_page_items(fleet.store, 1);
     put_endpoints(fleet);
     stand_ins::put_item(fleet.store, "op/config", configuration_text(1));
     stand_ins::set_faults(fleet.store, {.repeats_pages = true});
