--- a/source/unit_tests/platform/odd_entries_test.cpp
+++ b/source/unit_tests/platform/odd_entries_test.cpp
@@ -141,6 +141,7 @@
     CHECK(all_hosts_within(fleet, apply_limit_ms, [](const auto& it) { return !knows_endpoint(it, "a"); }));
 }
 
+// Guards against a restored store that no host can read, since odd entries came back with it.
 TEST_CASE("changes beside odd entries reach all hosts after the store came back from an older copy") {
     in_process_fleet fleet(4);
     stand_ins::set_page_items(fleet.store, 2);
@@ -161,6 +162,7 @@
         all_hosts_within(fleet, registration_limit_ms, [](const auto& it) { return member_count(it) == 4; }));
 }
 
+// Guards against odd keys elsewhere in the store, where a full read goes past them too.
 TEST_CASE("odd keys beside those of operators and hosts change nothing for the others") {
     in_process_fleet fleet(3);
     stand_ins::set_page_items(fleet.store, 1);
