--- a/review/stand_ins-3/client.h
+++ b/review/stand_ins-3/client.h
@@ -118,7 +118,8 @@
         c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
     }
     const auto at = head.find("content-length:");
-    const std::size_t length = at == std::string::npos ? 0 : std::strtoul(head.c_str() + at + 15, nullptr, 10);
+    const std::size_t length =
+        at == std::string::npos ? 0 : std::strtoul(head.c_str() + at + 15, nullptr, 10);
     return bytes.size() >= end + 4 + length ? end + 4 + length : 0;
 }
 
@@ -155,13 +156,15 @@
 
 /// Writes a key as the operator or another writer does.
 inline bool write_key(const address& store, const std::string& key, const std::string& value) {
-    const auto request = "POST /operator?key=" + key + " HTTP/1.1\r\nHost: store\r\nContent-Length: " +
-                         std::to_string(value.size()) + "\r\nConnection: close\r\n\r\n" + value;
+    const auto request = "POST /operator?key=" + key +
+                         " HTTP/1.1\r\nHost: store\r\nContent-Length: " + std::to_string(value.size()) +
+                         "\r\nConnection: close\r\n\r\n" + value;
     return status_of(call(store, request, 3)) == "200";
 }
 
 inline bool is_ready(const std::string& ip) {
-    return status_of(call({ip, 8384}, "GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", 1)) ==
+    return status_of(call({ip, 8384},
+                          "GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", 1)) ==
            "200";
 }
 
@@ -177,8 +180,8 @@
 }
 
 /// Head of a request to the route of the case, with an empty line at its end.
-inline std::string head(const std::string& method, const std::string& path, const std::string& id, int deadline_ms,
-                        const std::string& more = "") {
+inline std::string head(const std::string& method, const std::string& path, const std::string& id,
+                        int deadline_ms, const std::string& more = "") {
     return method + " " + path + " HTTP/1.1\r\nHost: surf.example\r\nLycheegap-Request-Id: " + id +
            "\r\nLycheegap-Request-Deadline: " + std::to_string(deadline_ms) +
            "\r\nAuthorization: Bearer surf-key\r\n" + more + "\r\n";
